Hedge at the high end of usual latencies, which pauses do not move

Cause: the 0.95 quantile lay within the pauses (4.4% of the time of each server), so hedges left too late to help; a slow server was never tried again.

--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -71,7 +71,7 @@
 def cost_of(row: ServerRow, own_domain: str, now: float) -> float:
     """Return the expected time of an answer, in usual latencies of the route."""
     queue = len(row.open_attempts) / max(row.registration.slots, 1)
-    cost = row.relative_latency * (1.0 + QUEUE_FACTOR * queue)
+    cost = row.relative_latency(now) * (1.0 + QUEUE_FACTOR * queue)
     if row.registration.domain != own_domain:
         cost *= REMOTE_FACTOR
     if row.idle_connections == 0:
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -22,8 +22,12 @@
 """Wait before a hedge that could not be sent is considered again."""
 HEDGE_RESERVE = 0.25
 """Part of the budget that hedges leave to retries after failures."""
-EXPECTED_FACTOR = 1.3
+STALL_AFTER_HIGH = 1.7
 """Multiple of the usual high latency after which a server counts as stalled."""
+HEDGE_AFTER_HIGH = 1.3
+"""Multiple of the usual high latency after which a hedge may be sent."""
+HEDGE_TARGET_SHARE = 0.35
+"""Part of the route's target after which a hedge goes out even if latencies have risen."""
 LEAST_HEDGE_S = 0.004
 """A hedge is never sent sooner; below this, delays of the network decide."""
 
@@ -165,12 +169,13 @@
 def _send(world: RoutingWorld, task: Task, row: ServerRow) -> None:
     exchange = task.exchange
     usual = world.latencies(exchange.route)
-    expected_s = max(usual.high_s, LEAST_HEDGE_S)
+    high_s = max(usual.high_s, LEAST_HEDGE_S)
+    hedge_s = min(HEDGE_AFTER_HIGH * high_s, HEDGE_TARGET_SHARE * exchange.route.target_s)
     attempt = Attempt(world.next_attempt_number(), task, row, world.now, task.sends > 0)
     task.sends += 1
     task.state = TaskState.SENT
     task.open_attempts.append(attempt)
     task.ran_on.add(row.server_id)
-    task.hedge_at = world.now + expected_s
-    row.open_attempts[attempt.number] = world.now + EXPECTED_FACTOR * expected_s
+    task.hedge_at = world.now + hedge_s
+    row.open_attempts[attempt.number] = world.now + STALL_AFTER_HIGH * high_s
     world.actions.append(Send(attempt, exchange.give_up_at - world.now))
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -10,6 +10,10 @@
 
 LATENCY_WEIGHT = 0.2
 """Weight of the newest sample in a server's relative latency; a moving average over about five."""
+LATENCY_HALF_LIFE_S = 3.0
+"""Time in which half of what set a server apart is forgotten, so that a slow one is tried again."""
+MOST_RATIO = 20.0
+"""The most that one answer counts, so that a single pause does not brand a server for long."""
 FAILURE_HALF_LIFE_S = 2.0
 """Time in which half of a server's failures are forgotten."""
 UNREACHABLE_FIRST_S = 0.25
@@ -31,8 +35,9 @@
     open_attempts: dict[int, float] = field(default_factory=dict)
     """The time by which each unanswered attempt should have been answered, oldest first."""
     idle_connections: int = 0
-    relative_latency: float = 1.0
-    """Moving average of latency over what is usual for the route."""
+    latency_ratio: float = 1.0
+    """Moving average of latency over what is usual for the route, as of ``latency_at``."""
+    latency_at: float = 0.0
     failures: float = 0.0
     """Recent failures, forgotten with a half-life."""
     failures_at: float = 0.0
@@ -50,9 +55,16 @@
             return expected_at < now
         return False
 
-    def note_latency(self, ratio: float) -> None:
+    def relative_latency(self, now: float) -> float:
+        """Return how much slower than usual the server is believed to answer."""
+        forgotten = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE_S)
+        return 1.0 + (self.latency_ratio - 1.0) * forgotten
+
+    def note_latency(self, ratio: float, now: float) -> None:
         """Take an answer's latency, relative to what is usual for its route, into account."""
-        self.relative_latency += LATENCY_WEIGHT * (min(ratio, 20.0) - self.relative_latency)
+        believed = self.relative_latency(now)
+        self.latency_ratio = believed + LATENCY_WEIGHT * (min(ratio, MOST_RATIO) - believed)
+        self.latency_at = now
         self.unreachable_count = 0
 
     def note_failure(self, now: float) -> None:
