--- a/marigoldwalk/daemon/http_server.py
+++ b/marigoldwalk/daemon/http_server.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
-from socket import SHUT_RD as _SHUT_RD
 from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from ..util.hangup import has_input
+
 if TYPE_CHECKING:
     import socket
     from collections.abc import Callable
@@ -41,12 +41,12 @@
 
     def read_requestline(self) -> str:
         """Read the first line of a request."""
-        self.server.idle_sockets.add(self.socket)
+        self.server.idle[self] = gevent.getcurrent()
         try:
             with gevent.Timeout(IDLE_S, TimeoutError("no further request")):
                 return super().read_requestline()
         finally:
-            self.server.idle_sockets.discard(self.socket)
+            self.server.idle.pop(self, None)
 
     def read_request(self, raw_requestline: str) -> bool:
         """Read the headers of a request."""
@@ -80,14 +80,19 @@
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        self.idle_sockets: set[socket.socket] = set()
+        self.idle: dict[BoundedHandler, gevent.Greenlet] = {}
+        """Handlers that wait for a request, with the greenlets that they wait in."""
 
     def close_idle(self) -> None:
-        """End the connections that wait for a next request."""
-        for sock in list(self.idle_sockets):
-            with contextlib.suppress(OSError):
-                # The reader sees the end of the stream and closes the connection itself.
-                sock.shutdown(_SHUT_RD)
+        """End the connections that wait for a request of which nothing has arrived."""
+        for handler in list(self.idle):
+            gevent.get_hub().loop.run_callback(self._close_if_idle, handler)
+
+    def _close_if_idle(self, handler: BoundedHandler) -> None:
+        # The event loop runs this, so nothing can arrive between the look and the end.
+        greenlet = self.idle.get(handler)
+        if greenlet is not None and not has_input(handler.socket):
+            greenlet.throw(ConnectionAbortedError("the daemon is stopping"))
 
     def finish(self, timeout_s: float) -> None:
         """Refuse further connections and wait for open requests, for at most *timeout_s*.
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -14,11 +14,13 @@
 from ..application import listen
 from ..daemon.http_server import make_server
 from ..daemon.logs import configure_logs
+from ..routing.membership import MemberReport, Membership
 from ..routing.router import Router
 from ..routing.world import RoutingWorld
 from ..util.clock import Clock
 from .feed import Feed
 from .front import Front
+from .gossip import GossipLink
 from .links import ServerLinks
 from .performer import Performer
 from .report import Reporter
@@ -56,25 +58,40 @@
         self._clock = Clock()
         now = self._clock.now
         self.world = RoutingWorld(settings.domain, settings.limits, now())
-        self.world.members = 9
         counters = self.world.counters
         router = Router(self.world)
         self._links = ServerLinks(now, counters)
         self._performer = Performer(router, self._links, dialect, now)
         self._front = Front(router, self._performer, dialect, Reporter(counters), now)
-        self._feed = Feed(store, self.world.catalog, now, counters, self._on_change)
+        self._feed = Feed(store, self.world.catalog, now, counters)
         self._caller_server = make_server(listen(settings.caller_address), self._front)
         self._ready_server = make_server(
             listen(settings.readiness_address), _readiness_app(self.is_ready)
         )
+        self._membership = self._make_membership()
+        self._gossip = GossipLink(
+            self._membership, settings.peer_address, now, counters, self._note_members
+        )
+        self._note_members(self._membership.possible_count())
         self._stop_requested = Event()
 
+    def _make_membership(self) -> Membership:
+        settings = self.settings
+        own = MemberReport(
+            settings.name, settings.peer_address, int(self._clock.started_at * 1000), 0
+        )
+        return Membership(own, settings.seeds, self._clock.now())
+
+    def _note_members(self, count: int) -> None:
+        self.world.members = count
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections here."""
         return self.world.catalog.config is not None and not self._front.is_stopping
 
     def run(self) -> int:
         """Work until a planned stop is complete; returns the exit status."""
+        self._gossip.start()
         self._feed.start()
         self._ready_server.start()
         self._caller_server.start()
@@ -84,6 +101,7 @@
         self._drain()
         sweeper.kill(block=False)
         self._feed.stop()
+        self._gossip.stop()
         self._links.close_all()
         logger.info("stopped", extra={"fields": dict(self.world.counters)})
         return 0
@@ -113,9 +131,6 @@
             gevent.sleep(SWEEP_S)
             self._links.close_expired()
 
-    def _on_change(self) -> None:
-        """Note that the catalog may have changed."""
-
 
 def serve(make_gateway: Callable[[], Gateway], name: str, log_level: str) -> int:
     """Run a gateway in this process until SIGTERM or SIGINT; returns the exit status."""
--- a/marigoldwalk/gateway/channel.py
+++ b/marigoldwalk/gateway/channel.py
@@ -12,6 +12,7 @@
 import httptools
 
 from ..routing.exchanges import LossReason, Lost
+from ..util.hangup import has_input
 from .dialect import RawReply
 
 if TYPE_CHECKING:
@@ -100,13 +101,7 @@
 
     def has_input(self) -> bool:
         """Return whether bytes, or the end of the stream, wait on an idle connection."""
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return has_input(self._sock)
 
     def _connect(self) -> None:
         code = self._sock.connect_ex((self.address.host, self.address.port))
--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -40,7 +40,6 @@
         catalog: Catalog,
         now: Callable[[], float],
         counters: Counter[str],
-        on_change: Callable[[], None],
     ) -> None:
         self.revision = 0
         self.confirmed_at = float("-inf")
@@ -49,7 +48,6 @@
         self._catalog = catalog
         self._now = now
         self._counters = counters
-        self._on_change = on_change
         self._excluded: set[str] = set()
         self._failed_at = float("-inf")
         self._is_lost = False
@@ -104,7 +102,6 @@
             self._take_fact(fact)
         self._catalog.exclude(self._excluded)
         self.revision = told.revision
-        self._on_change()
 
     def _take_fact(self, fact: Fact) -> None:
         now = self._now()
--- /dev/null
+++ b/marigoldwalk/gateway/gossip.py
@@ -0,0 +1,138 @@
+"""Gossip between daemons over UDP."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent import socket as gevent_socket
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from ..config.view import Address
+from ..routing.membership import MemberReport
+from ..wire.gen.gossip import ttypes
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Callable, Sequence
+
+    from ..routing.membership import Membership
+
+logger = logging.getLogger(__name__)
+
+PERIOD_S = 1.0
+"""Time between two rounds; a member is suspected after three and a half."""
+FIRST_PERIOD_S = 0.2
+"""Time between rounds while no other daemon is known."""
+MAX_DATAGRAM_BYTES = 65_535
+
+
+class GossipLink:
+    """Tell and hear members; the decisions are those of :class:`Membership`."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        listen_at: Address,
+        now: Callable[[], float],
+        counters: Counter[str],
+        on_change: Callable[[int], None],
+    ) -> None:
+        self._membership = membership
+        self._now = now
+        self._counters = counters
+        self._on_change = on_change
+        self._sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((listen_at.host, listen_at.port))
+        self._greenlets: list[gevent.Greenlet] = []
+        self._known = 0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where datagrams arrive."""
+        return self._sock.getsockname()
+
+    def start(self) -> None:
+        """Begin to tell and to hear."""
+        self._greenlets = [gevent.spawn(self._tell), gevent.spawn(self._hear)]
+
+    def stop(self) -> None:
+        """End both."""
+        gevent.killall(self._greenlets, block=False)
+        self._sock.close()
+
+    def _tell(self) -> None:
+        while True:
+            now = self._now()
+            targets = self._membership.next_round(now)
+            datagram = encode_reports(self._membership.reports(now))
+            for target in targets:
+                self._send(datagram, target)
+            self._note_count()
+            gevent.sleep(PERIOD_S if self._membership.rows() else FIRST_PERIOD_S)
+
+    def _send(self, datagram: bytes, target: Address) -> None:
+        try:
+            self._sock.sendto(datagram, (target.host, target.port))
+        except OSError as exc:
+            self._counters["gossip.unsent"] += 1
+            logger.debug("gossip to %s was not sent: %r", target, exc)
+
+    def _hear(self) -> None:
+        while True:
+            try:
+                datagram, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as exc:
+                # A refused datagram of our own shows up here; the next one may still arrive.
+                self._counters["gossip.unreceived"] += 1
+                logger.debug("gossip was not received: %r", exc)
+                continue
+            reports = decode_reports(datagram)
+            if reports is None:
+                self._counters["gossip.malformed"] += 1
+                continue
+            self._membership.hear(reports, self._now())
+            self._note_count()
+
+    def _note_count(self) -> None:
+        count = self._membership.possible_count()
+        if count != self._known:
+            self._known = count
+            names = sorted(row.report.name for row in self._membership.rows())
+            logger.info("members changed", extra={"fields": {"count": count, "others": names}})
+            self._on_change(count)
+
+
+def encode_reports(reports: Sequence[MemberReport]) -> bytes:
+    """Return a datagram with *reports*, the sender's own first."""
+    members = [
+        ttypes.Member(r.name, r.address.host, r.address.port, r.incarnation, r.heartbeat)
+        for r in reports
+    ]
+    buffer = TMemoryBuffer()
+    ttypes.Gossip(members, []).write(TBinaryProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode_reports(datagram: bytes) -> list[MemberReport] | None:
+    """Return the reports in *datagram*, or ``None`` if it is not valid."""
+    gossip = ttypes.Gossip()
+    try:
+        gossip.read(TBinaryProtocolAccelerated(TMemoryBuffer(datagram)))
+        gossip.validate()
+        return [
+            MemberReport(m.name, Address(m.host, m.port), m.incarnation, m.heartbeat)
+            for m in gossip.members
+            if _is_complete(m)
+        ]
+    except Exception as exc:  # noqa: BLE001 (thrift raises many kinds on malformed bytes)
+        logger.debug("a datagram is not valid: %r", exc)
+        return None
+
+
+def _is_complete(member: ttypes.Member) -> bool:
+    fields = (member.name, member.host, member.port, member.incarnation, member.heartbeat)
+    return all(field is not None for field in fields)
--- /dev/null
+++ b/marigoldwalk/routing/membership.py
@@ -0,0 +1,158 @@
+"""Which daemons there are, learned by gossip.
+
+Nobody lists the daemons. Each one counts up a heartbeat and tells a few others all that it knows;
+a member whose heartbeat no longer rises is suspected, then counted out, and forgotten last of all
+(van Renesse, Minsky and Hayden, "A Gossip-Style Failure Detection Service", 1998). Shares of
+fleet-wide limits are divided by every member that may still be sending, so a cut makes shares too
+small and never too large.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..util.hashing import stable_hash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..config.view import Address
+
+SUSPECT_AFTER_S = 3.5
+"""Silence after which a member is suspected: three periods of gossip and a lost datagram."""
+DEAD_AFTER_S = 8.0
+"""Silence after which a member counts as gone, twice the stability time of the platform."""
+FORGET_AFTER_S = 25.0
+"""Silence after which a member is forgotten: longer than a machine is cut off or frozen."""
+FANOUT = 2
+"""Members that each round of gossip is told to."""
+MAX_MEMBERS_TOLD = 24
+"""Members in one datagram, so that it fits into one packet."""
+UNKNOWN_MEMBERS = 8
+"""Members assumed before any other daemon was heard of."""
+
+
+class MemberState(Enum):
+    """What is believed of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberReport:
+    """One member, as a daemon tells of it."""
+
+    name: str
+    address: Address
+    incarnation: int
+    """Start of its process in Unix milliseconds."""
+    heartbeat: int
+
+
+@dataclass(slots=True)
+class MemberRow:
+    """One member, as this daemon knows it."""
+
+    report: MemberReport
+    heard_at: float
+    """When its heartbeat last rose."""
+
+    def state(self, now: float) -> MemberState:
+        """Return what is believed of the member at *now*."""
+        silence_s = now - self.heard_at
+        if silence_s >= DEAD_AFTER_S:
+            return MemberState.DEAD
+        return MemberState.SUSPECT if silence_s >= SUSPECT_AFTER_S else MemberState.ALIVE
+
+
+class Membership:
+    """The table of members; performs nothing and reads no clock.
+
+    ::
+
+        membership = Membership(own_report, seeds)
+        for address in membership.targets(now):
+            send(address, membership.reports(now))
+        membership.hear(received_reports, now)
+    """
+
+    def __init__(self, own: MemberReport, seeds: Iterable[Address], now: float) -> None:
+        self.own = own
+        self._seeds = tuple(seed for seed in seeds if seed != own.address)
+        self._rows: dict[str, MemberRow] = {}
+        self._round = 0
+        self._last_round_at = now
+
+    def rows(self) -> list[MemberRow]:
+        """Return the other members that are not forgotten."""
+        return list(self._rows.values())
+
+    def possible_count(self) -> int:
+        """Return how many daemons may be sending, this one included."""
+        return len(self._rows) + 1 if self._rows else UNKNOWN_MEMBERS
+
+    def alive(self, now: float) -> list[MemberRow]:
+        """Return the other members that are not silent."""
+        return [row for row in self._rows.values() if row.state(now) is MemberState.ALIVE]
+
+    def next_round(self, now: float) -> list[Address]:
+        """Count the own heartbeat up and return whom to tell this time.
+
+        Silent members are told now and then too, so that both sides of a cut find each other.
+        After a pause of its own, a daemon has heard nothing and blames nobody for it.
+        """
+        pause_s = now - self._last_round_at
+        if pause_s > SUSPECT_AFTER_S:
+            for row in self._rows.values():
+                row.heard_at += pause_s
+        self._last_round_at = now
+        self._round += 1
+        own = self.own
+        self.own = MemberReport(own.name, own.address, own.incarnation, own.heartbeat + 1)
+        self._forget(now)
+        return self._targets(now)
+
+    def reports(self, now: float) -> list[MemberReport]:
+        """Return what to tell: this daemon first, then members that live, freshest first."""
+        live = sorted(self.alive(now), key=lambda row: -row.heard_at)
+        return [self.own, *(row.report for row in live[: MAX_MEMBERS_TOLD - 1])]
+
+    def hear(self, reports: Iterable[MemberReport], now: float) -> None:
+        """Take in what another daemon tells."""
+        for report in reports:
+            if report.name != self.own.name:
+                self._hear_one(report, now)
+
+    def _hear_one(self, report: MemberReport, now: float) -> None:
+        row = self._rows.get(report.name)
+        if row is None:
+            self._rows[report.name] = MemberRow(report, now)
+        elif _order(report) > _order(row.report):
+            row.report = report
+            row.heard_at = now
+
+    def _forget(self, now: float) -> None:
+        for name, row in list(self._rows.items()):
+            if now - row.heard_at >= FORGET_AFTER_S:
+                del self._rows[name]
+
+    def _targets(self, now: float) -> list[Address]:
+        live = {row.report.address for row in self.alive(now)}
+        others = {row.report.address for row in self._rows.values()} - live
+        chosen = self._pick(live, FANOUT)
+        if len(chosen) < FANOUT or self._round % 4 == 0:
+            chosen += self._pick(others.union(self._seeds) - set(chosen), 1)
+        return chosen if live else [*chosen, *(s for s in self._seeds if s not in chosen)]
+
+    def _pick(self, addresses: Iterable[Address], count: int) -> list[Address]:
+        """Return *count* of *addresses*, others in each round."""
+        key = f"{self.own.name}:{self._round}"
+        return sorted(addresses, key=lambda address: stable_hash(key, str(address)))[:count]
+
+
+def _order(report: MemberReport) -> tuple[int, int]:
+    return report.incarnation, report.heartbeat
--- a/marigoldwalk/util/hangup.py
+++ b/marigoldwalk/util/hangup.py
@@ -18,6 +18,11 @@
     return _peek(sock) == b""
 
 
+def has_input(sock: socket.socket) -> bool:
+    """Return whether bytes, or the end of the stream, wait on *sock*; never waits."""
+    return _peek(sock) is not None
+
+
 def _peek(sock: socket.socket) -> bytes | None:
     """Return a waiting byte, no byte at the end of the stream, or ``None`` if none waits."""
     timeout = sock.gettimeout()
