--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import socket
 from typing import TYPE_CHECKING
@@ -25,8 +26,10 @@
 
 PERIOD_S = 1.0
 """Time between two rounds; a member is suspected after three and a half."""
-FIRST_PERIOD_S = 0.2
-"""Time between rounds while no other daemon is known."""
+FIRST_PERIOD_S = 0.25
+"""Time between the first rounds of a daemon's life, and while it knows no other daemon."""
+FIRST_ROUNDS = 20
+"""Rounds after which daemons that started together know each other, at 75 members."""
 MAX_DATAGRAM_BYTES = 65_535
 
 
@@ -65,14 +68,15 @@
         self._sock.close()
 
     def _tell(self) -> None:
-        while True:
+        for number in itertools.count():
             now = self._now()
             targets = self._membership.next_round(now)
             datagram = encode_reports(self._membership.reports(now))
             for target in targets:
                 self._send(datagram, target)
             self._note_count()
-            gevent.sleep(PERIOD_S if self._membership.rows() else FIRST_PERIOD_S)
+            is_settled = number >= FIRST_ROUNDS and self._membership.rows()
+            gevent.sleep(PERIOD_S if is_settled else FIRST_PERIOD_S)
 
     def _send(self, datagram: bytes, target: Address) -> None:
         try:
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -117,8 +117,9 @@
         return self._targets(now)
 
     def reports(self, now: float) -> list[MemberReport]:
-        """Return what to tell: this daemon first, then members that live, freshest first."""
-        live = sorted(self.alive(now), key=lambda row: -row.heard_at)
+        """Return what to tell: this daemon first, then members that live, others each round."""
+        key = f"{self.own.name}:{self._round}"
+        live = sorted(self.alive(now), key=lambda row: stable_hash(key, row.report.name))
         return [self.own, *(row.report for row in live[: MAX_MEMBERS_TOLD - 1])]
 
     def hear(self, reports: Iterable[MemberReport], now: float) -> None:
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -88,10 +88,11 @@
 
 def hedge_if_due(world: RoutingWorld, task: Task) -> None:
     """Send a second attempt beside one that takes longer than usual."""
-    if world.now < task.hedge_at or task.is_over or len(task.open_attempts) != 1:
+    if world.now < task.hedge_at or task.is_over:
         return
     route = task.exchange.route
-    if not route.idempotent or len(task.ran_on) >= route.max_attempts:
+    is_alone = len(task.open_attempts) == 1
+    if not is_alone or not route.idempotent or len(task.ran_on) >= route.max_attempts:
         task.hedge_at = float("inf")
         return
     task.hedge_at = world.now + HEDGE_RECHECK_S
--- /dev/null
+++ b/tests/gateway/backend.py
@@ -0,0 +1,36 @@
+"""A scripted backend server and the pieces that talk to it."""
+
+from __future__ import annotations
+
+from gevent.event import AsyncResult
+
+from marigoldwalk.gateway.channel import Channel
+
+from ..daemon.scripted import PATIENCE_S
+
+OWN_ID = "q-own"
+
+
+def response(body=b"ok", request_id=OWN_ID, status="200 OK", headers=(), length=None):
+    lines = [f"HTTP/1.1 {status}", "X-Signature: s-1"]
+    if request_id:
+        lines.append(f"X-Id: {request_id}")
+    if length is not False:
+        lines.append(f"Content-Length: {len(body) if length is None else length}")
+    lines += headers
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def is_of_another_request(raw):
+    return dict(raw.headers).get("X-Id", OWN_ID) != OWN_ID
+
+
+def exchange(channel, data=b"GET /x HTTP/1.1\r\n\r\n"):
+    """Send a request on *channel* and return its outcome."""
+    result = AsyncResult()
+    channel.request(data, result.set, is_of_another_request)
+    return result.get(timeout=PATIENCE_S)
+
+
+def open_channel(address):
+    return Channel(address, lambda channel: None)
--- /dev/null
+++ b/tests/routing/simulation.py
@@ -0,0 +1,188 @@
+"""Routing in virtual time against scripted backend servers."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass
+
+from marigoldwalk.config.view import Address
+from marigoldwalk.routing.exchanges import (
+    Abandon,
+    CallerRequest,
+    Exchange,
+    Finish,
+    Lost,
+    LossReason,
+    Send,
+    ServerReply,
+)
+from marigoldwalk.routing.model import (
+    Gather,
+    Registration,
+    Route,
+    RoutingConfig,
+    Service,
+    WeightedService,
+)
+from marigoldwalk.routing.router import Router
+from marigoldwalk.routing.world import RoutingLimits, RoutingWorld
+
+HOST = "desk.example"
+
+
+def registration(server_id, service="s-1", domain="north", **changes):
+    fields = {
+        "server_id": server_id,
+        "service": service,
+        "address": Address("10.0.0.1", 8000),
+        "domain": domain,
+        "slots": 2,
+        "draining": False,
+        "cold_left_s": 0.0,
+        "born_ms": 1000,
+        "sequence": 1,
+    }
+    return Registration(**(fields | changes))
+
+
+def single_route(service="s-1", **changes):
+    fields = {
+        "name": "r-1",
+        "host": HOST,
+        "prefix": "/one/",
+        "idempotent": True,
+        "timeout_s": 2.0,
+        "target_s": 0.3,
+        "max_attempts": 2,
+        "priority": 1,
+        "splits": (WeightedService(service, 1.0),),
+    }
+    return Route(**(fields | changes))
+
+
+def gather_route(shards, min_coverage=0.75, **changes):
+    gather = Gather(tuple(shards), 5, min_coverage)
+    return single_route(
+        **({"name": "r-all", "prefix": "/all/", "splits": (), "gather": gather} | changes)
+    )
+
+
+def routing_config(routes, services, version=1, **limits):
+    described = {name: Service(name, limits.get("cap", 25), 3.0, 0.0) for name in services}
+    return RoutingConfig(version, tuple(routes), described)
+
+
+def part(body=b"0" * 16, status=200, signature="sig", executed=True):
+    return ServerReply(status, (), body, signature, executed)
+
+
+SHED = ServerReply(503, (), b"", "", executed=False)
+REFUSED = Lost(LossReason.CONNECT_FAILED, may_have_run=False)
+RESET = Lost(LossReason.CLOSED, may_have_run=True)
+SILENT = None
+
+
+@dataclass
+class Script:
+    """How a server answers: a function from the number of its attempt to (delay, outcome)."""
+
+    answers: list
+    sends: list
+
+    def answer(self):
+        index = min(len(self.sends) - 1, len(self.answers) - 1)
+        return self.answers[index]
+
+
+class Simulation:
+    """Run a router, its servers and callers in virtual time."""
+
+    def __init__(self, routes, servers, members=1, domain="north", limits=None, cap=25):
+        self.now = 100.0
+        self.world = RoutingWorld(domain, limits or RoutingLimits(), self.now - 100.0)
+        self.world.members = members
+        self.router = Router(self.world)
+        self.scripts = {}
+        self.answers = {}
+        self.answered_at = {}
+        self.abandoned = []
+        self.sent = []
+        self._events = []
+        self._numbers = itertools.count()
+        self._timers = {}
+        for server_id, (service, domain_, *answers) in servers.items():
+            self.scripts[server_id] = Script(answers or [(0.03, part())], [])
+            self.world.catalog.apply_registration(
+                registration(server_id, service, domain_), self.now
+            )
+        services = {service for service, *_ in servers.values()}
+        self.world.catalog.apply_config(routing_config(routes, services, cap=cap))
+
+    def ask(self, path="/one/1", request_id="q-1", wait_s=2.0):
+        request = CallerRequest(request_id, "GET", HOST, path, self.now, self.now + wait_s)
+        exchange = self.router.open(request)
+        if not isinstance(exchange, Exchange):
+            self.answers[request_id] = exchange
+            self.answered_at[request_id] = self.now
+            return None
+        self._perform(self.router.start(exchange, self.now))
+        self._arm(exchange)
+        return exchange
+
+    def run(self, for_s):
+        end = self.now + for_s
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def leave(self, exchange):
+        self.router.caller_left(exchange, self.now)
+        self._arm(exchange)
+
+    def at(self, time, action):
+        heapq.heappush(self._events, (time, next(self._numbers), action))
+
+    def _perform(self, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action.attempt)
+            elif isinstance(action, Finish):
+                request_id = action.exchange.request.request_id
+                assert request_id not in self.answers, "answered twice"
+                self.answers[request_id] = action.answer
+                self.answered_at[request_id] = self.now
+            elif isinstance(action, Abandon):
+                self.abandoned.append(action.attempt)
+                self._end(action.attempt, Lost(LossReason.ABANDONED, may_have_run=True))
+
+    def _send(self, attempt):
+        server_id = attempt.row.server_id
+        self.sent.append((self.now, server_id, attempt.task.exchange.request.request_id))
+        script = self.scripts[server_id]
+        script.sends.append(self.now)
+        answer = script.answer()
+        delay_s, outcome = answer(self.now) if callable(answer) else answer
+        if outcome is not None:
+            self.at(self.now + delay_s, lambda: self._end(attempt, outcome))
+        self._arm(attempt.task.exchange)
+
+    def _end(self, attempt, outcome):
+        if not attempt.is_open:
+            return
+        step = self.router.reply if outcome else self.router.lost
+        self._perform(step(attempt, outcome, self.now))
+        self._arm(attempt.task.exchange)
+
+    def _arm(self, exchange):
+        due = self.router.next_wake(exchange)
+        self._timers[exchange] = due
+        if due is not None:
+            self.at(max(due, self.now), lambda: self._wake(exchange, due))
+
+    def _wake(self, exchange, due):
+        if self._timers.get(exchange) != due:
+            return
+        self._perform(self.router.wake(exchange, self.now))
+        self._arm(exchange)
--- /dev/null
+++ b/tests/routing/test_catalog.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+from marigoldwalk.routing.catalog import Catalog
+
+from .simulation import HOST, registration, routing_config, single_route
+
+
+def ids(catalog, service="s-1"):
+    return [row.server_id for row in catalog.servers_of(service)]
+
+
+def test_an_older_configuration_never_comes_back():
+    catalog = Catalog()
+    new = routing_config([single_route(name="new")], ["s-1"], version=7)
+    old = routing_config([single_route(name="old")], ["s-1"], version=5)
+    assert catalog.apply_config(new)
+    assert not catalog.apply_config(old)
+    assert catalog.find_route(HOST, "/one/1").name == "new"
+
+
+def test_a_draining_server_gets_nothing_new():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a"), 0.0)
+    catalog.apply_registration(registration("b"), 0.0)
+    catalog.apply_registration(registration("a", draining=True, sequence=2), 1.0)
+    assert ids(catalog) == ["b"]
+
+
+def test_servers_of_an_excluded_domain_get_nothing_new():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a", domain="north"), 0.0)
+    catalog.apply_registration(registration("b", domain="south"), 0.0)
+    catalog.exclude(["north"])
+    assert ids(catalog) == ["b"]
+    catalog.exclude([])
+    assert ids(catalog) == ["a", "b"]
+
+
+def test_an_older_registration_is_passed_over():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a", sequence=9, draining=True), 0.0)
+    assert not catalog.apply_registration(registration("a", sequence=4), 1.0)
+    assert not catalog.apply_registration(registration("a", born_ms=900, sequence=50), 1.0)
+    assert ids(catalog) == []
+
+
+def test_a_new_incarnation_begins_with_nothing_known_of_it():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a", sequence=9), 0.0)
+    catalog.rows["a"].note_failure(0.0)
+    catalog.apply_registration(registration("a", born_ms=2000, cold_left_s=3.0), 5.0)
+    row = catalog.rows["a"]
+    assert row.failures == 0.0
+    assert row.cold_until == 8.0
+
+
+def test_a_server_that_moves_to_another_service_leaves_the_first():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a"), 0.0)
+    catalog.apply_registration(registration("a", service="s-2", born_ms=2000), 1.0)
+    assert ids(catalog) == []
+    assert ids(catalog, "s-2") == ["a"]
+
+
+def test_a_removed_server_serves_until_it_is_dropped():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a"), 0.0)
+    catalog.mark_removed("a", 1.0)
+    assert ids(catalog) == ["a"]
+    assert catalog.drop_removed(before=0.5) == []
+    assert catalog.drop_removed(before=1.5) == ["a"]
+    assert ids(catalog) == []
+
+
+def test_a_server_that_registers_again_is_not_dropped():
+    catalog = Catalog()
+    catalog.apply_registration(registration("a"), 0.0)
+    catalog.mark_removed("a", 1.0)
+    catalog.apply_registration(registration("a"), 2.0)
+    assert catalog.drop_removed(before=9.0) == []
--- /dev/null
+++ b/tests/routing/test_membership.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from marigoldwalk.config.view import Address
+from marigoldwalk.routing.membership import Membership, MemberReport, MemberState
+
+
+class Fleet:
+    """Daemons that gossip once a second in virtual time."""
+
+    def __init__(self, count, seeds=(0, 1, 2), loss=0.05, seed=1):
+        self.now = 1000.0
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.count = count
+        self.seeds = [self.address(n) for n in seeds]
+        self.daemons = {}
+        self.silent = set()
+        self.cut = set()
+        self.incarnation = 0
+        for number in range(count):
+            self.start(number)
+
+    @staticmethod
+    def address(number):
+        return Address(f"10.0.0.{number + 1}", 7000)
+
+    def start(self, number):
+        self.incarnation += 1
+        own = MemberReport(f"m-{number}", self.address(number), self.incarnation, 0)
+        self.daemons[number] = Membership(own, self.seeds, self.now)
+
+    def run(self, seconds):
+        for _ in range(seconds):
+            self.now += 1.0
+            for number, daemon in self.daemons.items():
+                if number not in self.silent:
+                    self._round(number, daemon)
+
+    def _round(self, number, daemon):
+        targets = daemon.next_round(self.now)
+        reports = daemon.reports(self.now)
+        for target in targets:
+            other = int(target.host.rpartition(".")[2]) - 1
+            is_cut = (number in self.cut) != (other in self.cut)
+            lost = self.random.random() < self.loss
+            if other in self.daemons and other not in self.silent and not is_cut and not lost:
+                self.daemons[other].hear(reports, self.now)
+
+    def counts(self):
+        return [daemon.possible_count() for daemon in self.daemons.values()]
+
+
+@pytest.mark.parametrize(("count", "rounds"), [(2, 5), (6, 12), (9, 12), (75, 30)])
+def test_all_daemons_find_each_other(count, rounds):
+    fleet = Fleet(count)
+    fleet.run(rounds)
+    assert fleet.counts() == [count] * count
+
+
+def test_a_daemon_alone_assumes_others():
+    fleet = Fleet(1, seeds=(4, 5))
+    fleet.run(3)
+    assert fleet.counts()[0] > 1
+
+
+def test_seeds_that_are_down_are_no_hindrance_while_one_lives():
+    fleet = Fleet(9, seeds=(2, 20, 21))
+    fleet.run(12)
+    assert fleet.counts() == [9] * 9
+
+
+def test_a_daemon_that_is_killed_is_suspected_then_gone_then_forgotten():
+    fleet = Fleet(6)
+    fleet.run(10)
+    fleet.silent.add(5)
+    watcher = fleet.daemons[0]
+    seen = []
+    for _ in range(40):
+        fleet.run(1)
+        row = next((r for r in watcher.rows() if r.report.name == "m-5"), None)
+        seen.append(row.state(fleet.now) if row else None)
+    kinds = list(dict.fromkeys(seen))
+    assert kinds == [MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD, None]
+    assert watcher.possible_count() == 5
+
+
+def test_a_restarted_daemon_counts_once():
+    fleet = Fleet(6)
+    fleet.run(10)
+    fleet.start(3)
+    fleet.run(6)
+    assert fleet.counts() == [6] * 6
+    row = next(r for r in fleet.daemons[0].rows() if r.report.name == "m-3")
+    assert row.report.incarnation == fleet.incarnation
+    assert row.state(fleet.now) is MemberState.ALIVE
+
+
+def test_both_sides_of_a_cut_count_the_other_side_for_its_length():
+    fleet = Fleet(9)
+    fleet.run(12)
+    fleet.cut = {0, 1, 2}
+    fleet.run(15)
+    assert fleet.counts() == [9] * 9
+    fleet.cut = set()
+    fleet.run(12)
+    assert all(len(daemon.alive(fleet.now)) == 8 for daemon in fleet.daemons.values())
+
+
+def test_a_daemon_that_was_frozen_blames_nobody():
+    fleet = Fleet(6)
+    fleet.run(10)
+    fleet.silent.add(2)
+    fleet.run(60)
+    fleet.silent.clear()
+    frozen = fleet.daemons[2]
+    frozen.next_round(fleet.now)
+    assert frozen.possible_count() == 6
+    assert len(frozen.alive(fleet.now)) >= 3
+
+
+def test_all_killed_at_once_find_each_other_again():
+    fleet = Fleet(6)
+    fleet.run(10)
+    for number in range(6):
+        fleet.start(number)
+    fleet.run(10)
+    assert fleet.counts() == [6] * 6
+
+
+def test_members_that_join_while_half_are_away_are_known_to_all_later():
+    fleet = Fleet(6)
+    fleet.run(10)
+    fleet.cut = {3, 4, 5}
+    fleet.count = 7
+    fleet.start(6)
+    fleet.run(8)
+    assert fleet.daemons[3].possible_count() == 6
+    fleet.cut = set()
+    fleet.run(14)
+    assert fleet.counts() == [7] * 7
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,199 @@
+from __future__ import annotations
+
+import pytest
+
+from marigoldwalk.errors import RefusalReason
+from marigoldwalk.routing.exchanges import MergedAnswer, OwnAnswer, PassedAnswer
+
+from .simulation import (
+    REFUSED,
+    RESET,
+    SHED,
+    SILENT,
+    Simulation,
+    gather_route,
+    part,
+    single_route,
+)
+
+SHARDS = [f"s-{n}" for n in range(4)]
+FAST = (0.03, part())
+
+
+def pair(first, second, **options):
+    """One service with two servers, the first one in the own domain."""
+    servers = {"a": ("s-1", "north", *first), "b": ("s-1", "south", *second)}
+    return Simulation([single_route(**options)], servers)
+
+
+def shards_simulation(troubled=(), trouble=(9.9, SILENT), min_coverage=0.75, **options):
+    servers = {}
+    for shard in SHARDS:
+        answer = trouble if shard in troubled else FAST
+        servers[f"{shard}-a"] = (shard, "north", answer)
+        servers[f"{shard}-b"] = (shard, "south", answer)
+    return Simulation([gather_route(SHARDS, min_coverage, **options)], servers)
+
+
+def test_one_server_answers_and_its_reply_is_passed_on_unchanged():
+    simulation = pair([FAST], [FAST])
+    simulation.ask()
+    simulation.run(1.0)
+    assert simulation.answers["q-1"] == PassedAnswer(part())
+    assert [server for _, server, _ in simulation.sent] == ["a"]
+
+
+def test_a_paused_server_is_hedged_and_the_first_reply_wins():
+    simulation = pair([(0.25, part())], [FAST])
+    simulation.ask()
+    simulation.run(1.0)
+    assert isinstance(simulation.answers["q-1"], PassedAnswer)
+    assert simulation.answered_at["q-1"] - 100.0 < 0.2
+    assert [server for _, server, _ in simulation.sent] == ["a", "b"]
+
+
+@pytest.mark.parametrize("outcome", [SILENT, RESET])
+def test_a_request_that_must_not_be_repeated_is_sent_once(outcome):
+    simulation = pair([(0.01, outcome)], [FAST], idempotent=False)
+    simulation.ask()
+    simulation.run(3.0)
+    assert len(simulation.sent) == 1
+    answer = simulation.answers["q-1"]
+    assert answer.status in (502, 504)
+
+
+@pytest.mark.parametrize("outcome", [SHED, REFUSED])
+def test_a_request_that_has_not_run_goes_to_another_server(outcome):
+    simulation = pair([(0.001, outcome)], [FAST], idempotent=False)
+    simulation.ask()
+    simulation.run(3.0)
+    assert simulation.answers["q-1"] == PassedAnswer(part())
+    assert [server for _, server, _ in simulation.sent] == ["a", "b"]
+
+
+def test_not_run_is_said_only_if_it_is_true():
+    refused = pair([(0.001, REFUSED)], [(0.001, REFUSED)], idempotent=False)
+    refused.ask()
+    refused.run(3.0)
+    assert refused.answers["q-1"].status == 503
+    assert refused.answers["q-1"].retry_after_s > 0
+    lost = pair([(0.001, REFUSED)], [(0.01, RESET)], idempotent=False)
+    lost.ask()
+    lost.run(3.0)
+    assert lost.answers["q-1"].status == 502
+
+
+def test_a_failure_that_a_server_answered_is_passed_on_after_the_last_attempt():
+    failure = part(status=500)
+    simulation = pair([(0.01, failure)], [(0.01, failure)])
+    simulation.ask()
+    simulation.run(3.0)
+    assert simulation.answers["q-1"] == PassedAnswer(failure)
+    assert len(simulation.sent) == 2
+
+
+def test_no_more_servers_run_a_request_than_its_route_allows():
+    servers = {f"a-{n}": ("s-1", "north", (0.01, RESET)) for n in range(5)}
+    simulation = Simulation([single_route(max_attempts=2)], servers)
+    simulation.ask()
+    simulation.run(3.0)
+    assert len({server for _, server, _ in simulation.sent}) == 2
+
+
+def test_a_request_without_a_route_or_a_configuration_is_refused_at_once():
+    simulation = pair([FAST], [FAST])
+    simulation.ask("/none/1")
+    assert simulation.answers["q-1"] == OwnAnswer(404, RefusalReason.NO_ROUTE)
+    simulation.world.catalog.config = None
+    simulation.ask("/none/1", "q-2")
+    assert simulation.answers["q-2"].status == 503
+
+
+def test_an_answer_comes_within_the_routes_timeout():
+    simulation = pair([(9.0, part())], [(9.0, part())], timeout_s=0.5)
+    simulation.ask()
+    simulation.run(3.0)
+    assert simulation.answers["q-1"].status == 504
+    assert simulation.answered_at["q-1"] < 100.5
+
+
+def test_every_shard_is_in_the_answer():
+    simulation = shards_simulation()
+    simulation.ask("/all/1")
+    simulation.run(1.0)
+    answer = simulation.answers["q-1"]
+    assert isinstance(answer, MergedAnswer)
+    assert answer.missing_count == 0
+    assert len(answer.signatures) == 4
+    assert simulation.answered_at["q-1"] == pytest.approx(100.03)
+
+
+def test_the_answer_leaves_at_the_target_with_what_is_in():
+    simulation = shards_simulation(troubled=SHARDS[:1])
+    simulation.ask("/all/1")
+    simulation.run(3.0)
+    answer = simulation.answers["q-1"]
+    assert answer.missing_count == 1
+    assert len(answer.signatures) == 3
+    assert 0.25 < simulation.answered_at["q-1"] - 100.0 < 0.3
+
+
+def test_an_answer_below_the_least_coverage_waits_beyond_the_target():
+    simulation = shards_simulation(troubled=SHARDS[:2], trouble=(0.8, part()))
+    simulation.ask("/all/1")
+    simulation.run(3.0)
+    answer = simulation.answers["q-1"]
+    assert isinstance(answer, MergedAnswer)
+    assert simulation.answered_at["q-1"] - 100.0 == pytest.approx(0.8)
+
+
+def test_a_query_that_cannot_be_covered_is_refused_at_once():
+    simulation = shards_simulation()
+    for shard in SHARDS[:2]:
+        simulation.world.catalog.remove(f"{shard}-a")
+        simulation.world.catalog.remove(f"{shard}-b")
+    simulation.ask("/all/1")
+    assert simulation.answered_at["q-1"] == 100.0
+    assert simulation.answers["q-1"].status in (502, 503)
+
+
+def test_parts_come_from_the_version_at_the_start_of_the_query():
+    simulation = shards_simulation()
+    exchange = simulation.ask("/all/1")
+    simulation.world.catalog.config = None
+    simulation.run(1.0)
+    assert simulation.answers["q-1"].missing_count == 0
+    assert exchange.config_version == 1
+
+
+def test_work_waits_for_a_free_server_and_urgent_work_goes_first():
+    urgent = single_route(name="urgent", prefix="/urgent/", priority=0)
+    servers = {"a": ("s-1", "north", (0.1, part()))}
+    simulation = Simulation([single_route(), urgent], servers, members=25)
+    for number in range(2):
+        simulation.ask("/one/1", f"q-{number}")
+    simulation.ask("/urgent/1", "u-1")
+    simulation.run(1.0)
+    order = [request for _, _, request in simulation.sent]
+    assert order == ["q-0", "u-1", "q-1"]
+
+
+def test_attempts_are_broken_off_some_time_after_the_caller_has_left():
+    simulation = pair([(9.0, part())], [(9.0, part())])
+    exchange = simulation.ask()
+    simulation.run(0.01)
+    simulation.leave(exchange)
+    simulation.run(0.25)
+    assert simulation.abandoned == []
+    simulation.run(0.2)
+    assert len(simulation.abandoned) == 1
+    assert "q-1" not in simulation.answers
+    assert len(simulation.sent) == 1
+
+
+def test_a_server_that_refuses_everything_gets_no_stream_of_repeats():
+    simulation = pair([(0.001, SHED)], [(0.001, SHED)])
+    simulation.ask()
+    simulation.run(3.0)
+    assert len(simulation.sent) <= 0.9 * (0.2 + 52) + 1
+    assert simulation.answers["q-1"].status == 503
