--- a/marigoldwalk/application.py
+++ b/marigoldwalk/application.py
@@ -62,7 +62,7 @@
         identity = Identity(
             settings.name,
             settings.domain,
-            _bound_address(self._peer_listener),
+            bound_address(self._peer_listener),
             self._clock.started_at,
         )
         self.core = Core(identity, settings.parameters, accept)
@@ -98,12 +98,12 @@
     @property
     def caller_address(self) -> Address:
         """Where callers reach this daemon."""
-        return _bound_address(self._caller_listener)
+        return bound_address(self._caller_listener)
 
     @property
     def admin_address(self) -> Address:
         """Where operators reach this daemon."""
-        return _bound_address(self._admin_listener)
+        return bound_address(self._admin_listener)
 
     def run(self) -> int:
         """Work until a planned stop is complete; returns the exit status."""
@@ -154,7 +154,7 @@
     return app.run()
 
 
-def _bound_address(listener: socket.socket) -> Address:
+def bound_address(listener: socket.socket) -> Address:
     """Return where *listener* listens, with the port that the operating system chose."""
     host, port = listener.getsockname()
     return Address(host, port)
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent.event import Event
 
-from ..application import listen
+from ..application import bound_address, listen
 from ..daemon.http_server import make_server
 from ..daemon.logs import configure_logs
 from ..routing.membership import MemberReport, Membership
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..config.view import Address
     from .dialect import Dialect
     from .facts import Store
     from .settings import GatewaySettings
@@ -64,7 +65,8 @@
         self._performer = Performer(router, self._links, dialect, now)
         self._front = Front(router, self._performer, dialect, Reporter(counters), now)
         self._feed = Feed(store, self.world.catalog, now, counters)
-        self._caller_server = make_server(listen(settings.caller_address), self._front)
+        self._caller_listener = listen(settings.caller_address)
+        self._caller_server = make_server(self._caller_listener, self._front)
         self._ready_server = make_server(
             listen(settings.readiness_address), _readiness_app(self.is_ready)
         )
@@ -85,6 +87,16 @@
     def _note_members(self, count: int) -> None:
         self.world.members = count
 
+    @property
+    def caller_address(self) -> Address:
+        """Where callers reach this daemon."""
+        return bound_address(self._caller_listener)
+
+    @property
+    def open_count(self) -> int:
+        """How many requests have work under way."""
+        return self._performer.open_count
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections here."""
         return self.world.catalog.config is not None and not self._front.is_stopping
@@ -95,16 +107,22 @@
         self._feed.start()
         self._ready_server.start()
         self._caller_server.start()
-        sweeper = gevent.spawn(self._sweep)
+        self._sweeper = gevent.spawn(self._sweep)
         logger.info("started", extra={"fields": {"domain": self.settings.domain}})
         self._stop_requested.wait()
         self._drain()
-        sweeper.kill(block=False)
+        self.close()
+        logger.info("stopped", extra={"fields": dict(self.world.counters)})
+        return 0
+
+    def close(self) -> None:
+        """End everything at once."""
+        gevent.killall([self._sweeper], block=False)
         self._feed.stop()
         self._gossip.stop()
         self._links.close_all()
-        logger.info("stopped", extra={"fields": dict(self.world.counters)})
-        return 0
+        self._caller_server.stop(timeout=0)
+        self._ready_server.stop(timeout=0)
 
     def request_stop(self) -> None:
         """Begin a planned stop: no longer ready, and connections end after their answers."""
--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -51,6 +51,7 @@
         self._excluded: set[str] = set()
         self._failed_at = float("-inf")
         self._is_lost = False
+        self._is_read = False
         self._backoff_s = FIRST_BACKOFF_S
         self._greenlet: gevent.Greenlet | None = None
 
@@ -64,38 +65,55 @@
             self._greenlet.kill(block=False)
         self._store.close()
 
-    def _run(self) -> None:
-        is_read = False
-        while True:
-            try:
-                if is_read:
-                    self._watch()
-                else:
-                    self._read()
-                    is_read = True
-            except HistoryLostError:
-                self._counters["store.history_lost"] += 1
-                logger.info("the store has dropped its history; reading all of it again")
-                is_read = False
-            except StoreError as exc:
-                self._note_failure(exc)
-                gevent.sleep(self._backoff_s * random.uniform(0.7, 1.0))
-                self._backoff_s = min(self._backoff_s * 1.6, LAST_BACKOFF_S)
-
-    def _read(self) -> None:
+    def step(self) -> None:
+        """Read all, or watch once what is read already; raises ``StoreError``."""
+        if not self._is_read:
+            self.read()
+            return
+        try:
+            self.watch()
+        except HistoryLostError:
+            self._counters["store.history_lost"] += 1
+            logger.info("the store has dropped its history; reading all of it again")
+            self._is_read = False
+
+    def read(self) -> None:
+        """Read all that the store holds; raises ``StoreError``."""
         told = self._store.read()
         self._note_answer()
         self._forget_absent(told.facts)
         self._take(told)
+        self._is_read = True
         logger.info("the store was read", extra={"fields": self._state()})
 
-    def _watch(self) -> None:
+    def watch(self) -> None:
+        """Take in the next changes; raises ``StoreError``."""
         told = self._store.watch(self.revision, WATCH_S)
         self._note_answer()
         self._take(told)
         self._drop_removed()
-        if told.facts:
-            gevent.sleep(COALESCE_S)
+
+    def note_failure(self, exc: StoreError) -> None:
+        """Note that the store did not answer."""
+        self._failed_at = self._now()
+        self._counters["store.failure"] += 1
+        if not self._is_lost:
+            self._is_lost = True
+            fields = {"why": str(exc), **self._state()}
+            logger.warning("the store does not answer", extra={"fields": fields})
+
+    def _run(self) -> None:
+        while True:
+            before = self.revision
+            try:
+                self.step()
+            except StoreError as exc:
+                self.note_failure(exc)
+                gevent.sleep(self._backoff_s * random.uniform(0.7, 1.0))
+                self._backoff_s = min(self._backoff_s * 1.6, LAST_BACKOFF_S)
+            else:
+                if self.revision != before:
+                    gevent.sleep(COALESCE_S)
 
     def _take(self, told: Facts) -> None:
         for fact in told.facts:
@@ -156,14 +174,6 @@
             self._is_lost = False
             logger.info("the store answers again", extra={"fields": self._state()})
 
-    def _note_failure(self, exc: StoreError) -> None:
-        self._failed_at = self._now()
-        self._counters["store.failure"] += 1
-        if not self._is_lost:
-            self._is_lost = True
-            fields = {"why": str(exc), **self._state()}
-            logger.warning("the store does not answer", extra={"fields": fields})
-
     def _state(self) -> dict[str, object]:
         config = self._catalog.config
         return {
--- /dev/null
+++ b/tests/gateway/test_application.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from ..daemon.scripted import PATIENCE_S
+from ..platform.standin import StandinServer, config_record, route_record
+from .daemons import ask, deployment, read_response, request
+
+
+def slow_answer(server_id, pause_s):
+    def answer(environ, start_response):
+        gevent.sleep(pause_s)
+        start_response(
+            "200 OK",
+            [
+                ("X-Marigoldwalk-Response-Stamp", f"stamp-{server_id}"),
+                ("Content-Length", "4"),
+            ],
+        )
+        return [b"done"]
+
+    return answer
+
+
+def test_a_reply_is_passed_on_unchanged():
+    with deployment() as (daemon, _):
+        status, headers, body = ask(daemon, request())[0]
+    assert (status, body) == (200, b"the whole body")
+    assert headers["x-marigoldwalk-response-stamp"] == "stamp-i-1"
+    assert headers["x-marigoldwalk-request-id"] == "q-1"
+
+
+def test_a_body_reaches_the_server_whole():
+    servers = {"s-1": [StandinServer("i-1", b"ok")]}
+    with deployment(servers=servers) as (daemon, _):
+        chunked = request("/one/2", "POST", headers=["Transfer-Encoding: chunked"])
+        chunked += b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+        ask(daemon, request("/one/1", "POST", body=b"a body"), chunked)
+    assert servers["s-1"][0].requests == [
+        ("POST", "/one/1", b"a body"),
+        ("POST", "/one/2", b"abcdefg"),
+    ]
+
+
+def test_a_query_over_all_shards_is_merged():
+    servers = {
+        f"s-{n}": [StandinServer(f"i-{n}", bytes([65 + n]) * 16 + bytes([75 + n]) * 16)]
+        for n in range(3)
+    }
+    route = route_record(
+        "/all/",
+        service=None,
+        **{"fanout-services": list(servers), "top-k": 4, "min-coverage": 0.5},
+    )
+    with deployment([route], servers) as (daemon, _):
+        status, headers, body = ask(daemon, request("/all/1"))[0]
+    assert status == 200
+    assert body == b"M" * 16 + b"L" * 16 + b"K" * 16 + b"C" * 16
+    stamps = headers["x-marigoldwalk-part-stamps"].split(", ")
+    assert sorted(stamps) == ["stamp-i-0", "stamp-i-1", "stamp-i-2"]
+    assert headers["x-marigoldwalk-missing-parts"] == "0"
+
+
+def test_a_connection_serves_many_requests():
+    with deployment() as (daemon, _):
+        responses = ask(daemon, *(request(request_id=f"q-{n}") for n in range(5)))
+    assert [status for status, _, _ in responses] == [200] * 5
+
+
+def test_an_unknown_path_is_not_found():
+    with deployment() as (daemon, _):
+        status, headers, _ = ask(daemon, request("/none/1"))[0]
+    assert status == 404
+    assert "x-marigoldwalk-response-stamp" not in headers
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (
+            request(method="POST", body=b"abc", headers=["Transfer-Encoding: chunked"]),
+            400,
+        ),
+        (request(method="POST", body=b"abc", headers=["Content-Length: 9"]), 400),
+        (request(method="POST", headers=["Content-Length: -1"]), 400),
+        (request(method="POST", headers=["Transfer-Encoding: gzip, chunked"]), 400),
+        (request(method="POST", headers=["Transfer-Encoding: chunked"]) + b"zz\r\n", 400),
+        (request(method="POST", body=b"x" * 1001), 413),
+        (request(headers=[f"X-Large: {'x' * 5000}"]), 431),
+        (request(headers=["X-Marigoldwalk-Deadline-Ms: soon"]), 400),
+    ],
+    ids=["both", "lengths", "negative", "codings", "chunk", "body", "headers", "deadline"],
+)
+def test_a_bad_request_gets_a_clear_status_and_reaches_no_server(data, expected):
+    servers = {"s-1": [StandinServer("i-1", b"ok")]}
+    with deployment(servers=servers) as (daemon, _):
+        with daemon.connect() as sock, sock.makefile("rb") as stream:
+            # What follows on the connection must not be taken for a request.
+            sock.sendall(data + request("/one/smuggled"))
+            assert read_response(stream)[0] == expected
+            assert read_response(stream) is None
+    assert servers["s-1"][0].requests == []
+
+
+def test_a_change_of_configuration_is_followed():
+    servers = {"s-1": [StandinServer("i-1", b"1")], "s-2": [StandinServer("i-2", b"2")]}
+    with deployment(servers=servers) as (daemon, store):
+        assert ask(daemon, request())[0][2] == b"1"
+        store.put("op/config", config_record(2, [route_record(service="s-2")], ["s-1", "s-2"]))
+        with gevent.Timeout(PATIENCE_S):
+            while ask(daemon, request())[0][2] != b"2":
+                gevent.sleep(0.01)
+
+
+def test_a_stop_cuts_no_request_and_announces_the_end_of_connections():
+    server = StandinServer("i-1", answer=slow_answer("i-1", 0.3))
+    with deployment(servers={"s-1": [server]}) as (daemon, _):
+        with daemon.connect() as sock, sock.makefile("rb") as stream:
+            sock.sendall(request())
+            gevent.sleep(0.05)
+            stopped = gevent.spawn(daemon.stop)
+            status, headers, body = read_response(stream)
+            assert (status, body) == (200, b"done")
+            assert headers["connection"] == "close"
+            assert not daemon.gateway.is_ready()
+            # Callers still arrive until the balancer has noticed.
+            assert ask(daemon, request())[0][0] == 200
+        assert stopped.get(timeout=PATIENCE_S) == 0
+
+
+def test_idle_connections_end_at_a_stop():
+    with deployment() as (daemon, _), daemon.connect() as sock, sock.makefile("rb") as stream:
+        sock.sendall(request())
+        assert read_response(stream)[0] == 200
+        daemon.stop()
+        assert read_response(stream) is None
+
+
+def test_a_reload_changes_nothing_for_callers():
+    with deployment() as (daemon, _):
+        daemon.gateway.reload()
+        assert ask(daemon, request())[0][0] == 200
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it():
+    server = StandinServer("i-1", answer=slow_answer("i-1", 5.0))
+    with deployment(servers={"s-1": [server]}) as (daemon, _):
+        with daemon.connect() as sock:
+            sock.sendall(request())
+            with gevent.Timeout(PATIENCE_S):
+                while not server.requests:
+                    gevent.sleep(0.005)
+        with gevent.Timeout(PATIENCE_S):
+            while daemon.gateway.open_count:
+                gevent.sleep(0.01)
+    assert daemon.gateway.world.counters["lost.abandoned"] == 1
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,169 @@
+"""A stand-in for the platform's store and for backend servers that speak its headers."""
+
+from __future__ import annotations
+
+import json
+from base64 import b64encode
+from contextlib import contextmanager
+
+import bottle
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from marigoldwalk.config.view import Address
+
+
+class StandinStore:
+    """Keys with revisions, read in pages and watched."""
+
+    def __init__(self, page_size=2):
+        self.items = {}
+        self.history = []
+        self.revision = 10
+        self.kept_from = 0
+        self.calls = []
+        self.failure = None
+        """``busy``, ``silent`` or ``garbled``; ``None`` while the store is well."""
+        self._page_size = page_size
+        self._changed = Event()
+        app = bottle.Bottle()
+        app.route("/-/kv-range", "GET", self._range)
+        app.route("/-/kv-watch", "GET", self._watch)
+        self._server = WSGIServer(("127.0.0.1", 0), app, log=None, error_log=None)
+        self._server.start()
+        self.address = Address("127.0.0.1", self._server.server_port)
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+    def put(self, key, value):
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._record({"key": key, "value": b64encode(body).decode()})
+
+    def delete(self, key):
+        self._record({"key": key, "tombstone": True})
+
+    def compact(self):
+        self.kept_from = self.revision + 1
+
+    def _record(self, event):
+        self.revision += 1
+        event["revision"] = self.revision
+        self.history.append(event)
+        if event.get("tombstone"):
+            self.items.pop(event["key"], None)
+        else:
+            self.items[event["key"]] = event
+        self._changed.set()
+        self._changed.clear()
+
+    def _fail(self):
+        if self.failure == "busy":
+            return bottle.HTTPResponse("", 503)
+        if self.failure == "garbled":
+            return bottle.HTTPResponse("{", 200)
+        if self.failure == "silent":
+            gevent.sleep(3600)
+        return None
+
+    def _range(self):
+        query = bottle.request.query
+        self.calls.append(("range", query.prefix))
+        if (failed := self._fail()) is not None:
+            return failed
+        keys = sorted(k for k in self.items if k.startswith(query.prefix) and k > query.after)
+        page = keys[: self._page_size]
+        return {
+            "items": [self.items[key] for key in page],
+            "has-more": len(keys) > len(page),
+            "current-rev": self.revision,
+        }
+
+    def _watch(self):
+        query = bottle.request.query
+        self.calls.append(("watch", int(query.after)))
+        if (failed := self._fail()) is not None:
+            return failed
+        after = int(query.after)
+        if after < self.kept_from:
+            return bottle.HTTPResponse("", 410)
+        if self.revision <= after:
+            self._changed.wait(int(query["wait-ms"]) / 1000)
+        events = [event for event in self.history if event["revision"] > after]
+        return {"events": events, "current-rev": self.revision}
+
+
+class StandinServer:
+    """A backend server that answers every request with its id, or as *answer* says."""
+
+    def __init__(self, server_id, body=b"", answer=None):
+        self.server_id = server_id
+        self.requests = []
+        self._body = body
+        self._answer = answer
+        self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
+        self._server.start()
+        self.address = Address("127.0.0.1", self._server.server_port)
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+    def registration(self, service, **changes):
+        fields = {
+            "service": service,
+            "address": str(self.address),
+            "zone": "north",
+            "slots": 2,
+            "state": "ready",
+            "cold-left-ms": 0,
+            "sequence": 1,
+            "born": 1000,
+        }
+        return fields | changes
+
+    def _serve(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        self.requests.append((environ["REQUEST_METHOD"], environ["PATH_INFO"], body))
+        if self._answer is not None:
+            return self._answer(environ, start_response)
+        headers = [
+            ("X-Marigoldwalk-Response-Stamp", f"stamp-{self.server_id}"),
+            ("X-Marigoldwalk-Request-Id", environ.get("HTTP_X_MARIGOLDWALK_REQUEST_ID", "")),
+            ("Content-Length", str(len(self._body))),
+        ]
+        start_response("200 OK", headers)
+        return [self._body]
+
+
+@contextmanager
+def stopping(*standins):
+    try:
+        yield standins
+    finally:
+        for standin in standins:
+            standin.stop()
+
+
+def config_record(version=1, routes=(), services=()):
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": name, "max-connections": 25} for name in services],
+        "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000},
+    }
+
+
+def route_record(prefix="/one/", **changes):
+    fields = {
+        "name": f"r{prefix}",
+        "host": "desk.example",
+        "prefix": prefix,
+        "route-kind": "safe",
+        "timeout-ms": 5000,
+        "target-latency-ms": 1000,
+        "priority": 1,
+        "max-attempts": 2,
+        "service": "s-1",
+    }
+    return {key: value for key, value in (fields | changes).items() if value is not None}
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -12,8 +12,8 @@
     CallerRequest,
     Exchange,
     Finish,
-    Lost,
     LossReason,
+    Lost,
     Send,
     ServerReply,
 )
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marigoldwalk.config.view import Address
-from marigoldwalk.routing.membership import Membership, MemberReport, MemberState
+from marigoldwalk.routing.membership import MemberReport, Membership, MemberState
 
 
 class Fleet:
