--- a/marigoldwalk/routing/budgets.py
+++ b/marigoldwalk/routing/budgets.py
@@ -14,6 +14,8 @@
 """Width of the steps in which sends are counted."""
 MARGIN = 0.9
 """Share of the budget that is spent; the rest covers windows that begin within a step."""
+SCARCE_SHARE = 0.35
+"""Part of the budget that is kept for repeats without which a query would fail."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,11 +62,17 @@
     def left(self, members: int, now: float) -> float:
         """Return how many repeats are left to a daemon out of *members*."""
         self._step(now)
+        return self._total(members, now) - self._repeat_count
+
+    def is_scarce(self, members: int, now: float) -> bool:
+        """Return whether so little is left that it should go where it decides an answer."""
+        return self.left(members, now) < SCARCE_SHARE * self._total(members, now)
+
+    def _total(self, members: int, now: float) -> float:
         # A daemon that was restarted may have spent its share in the same window before.
         age = min(1.0, (now - self._started_at) / self._limits.window_s)
         share = self._limits.slack / max(members, 1) * (0.5 + 0.5 * age)
-        total = self._limits.ratio * self._first_count + share
-        return MARGIN * total - self._repeat_count
+        return MARGIN * (self._limits.ratio * self._first_count + share)
 
     def _step(self, now: float) -> list[float]:
         """Return the step of *now* after forgetting those out of the window."""
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -15,15 +15,16 @@
 
     from .tables import ServerRow
 
-REMOTE_FACTOR = 1.18
-"""Cost of a server in another failure domain: a byte between domains is worth 18% of latency."""
+REMOTE_FACTOR = 2.2
+"""Cost of a server in another failure domain. Bytes between domains are the largest price that
+placement moves; a server nearby is passed over once it is about twice as slow."""
 STALL_FACTOR = 8.0
 """Usual latencies that an attempt costs at a server that owes an answer."""
 COLD_FACTOR = 3.0
 """Usual latencies that an attempt costs at a cold server, which works slower."""
 FAILURE_FACTOR = 4.0
 """Usual latencies that each recent failure of a server costs."""
-QUEUE_FACTOR = 0.7
+QUEUE_FACTOR = 1.0
 """Share of a latency that each open attempt adds for each slot of the server."""
 CONNECT_FACTOR = 0.3
 """Usual latencies that a new connection costs, which holds a slot for some milliseconds."""
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -9,6 +9,7 @@
 from .tables import ServerRow
 
 if TYPE_CHECKING:
+    from .exchanges import Exchange
     from .placement import NoServer
     from .world import RoutingWorld
 
@@ -20,8 +21,8 @@
 """Wait before a task goes again to servers that have refused it, about the work of a request."""
 HEDGE_RECHECK_S = 0.01
 """Wait before a hedge that could not be sent is considered again."""
-HEDGE_RESERVE = 0.25
-"""Part of the budget that hedges leave to retries after failures."""
+BUDGET_RECHECK_S = 0.01
+"""Wait before a shard without a repeat in the budget is considered again."""
 STALL_AFTER_HIGH = 1.7
 """Multiple of the usual high latency after which a server counts as stalled."""
 HEDGE_AFTER_HIGH = 1.3
@@ -73,17 +74,22 @@
 def retry(world: RoutingWorld, task: Task, arrived: bool = True) -> None:
     """Send a task again after an attempt without a part, as far as attempts and budget allow.
 
-    *arrived* is ``False`` if the attempt never reached a server, which costs no budget.
+    *arrived* is ``False`` if the attempt never reached a server, which costs no budget. A shard of
+    a wide query waits for the budget, since the query may do without it or the budget may refill.
     """
     route = task.exchange.route
+    task.state = TaskState.WAITING
     if len(task.ran_on) >= route.max_attempts:
         fail(task, "attempts are used up")
-    elif arrived and not _spend(world, task, 0.0):
-        fail(task, "the retry budget is used up")
-        world.counters["retry.no_budget"] += 1
-    else:
+    elif not arrived or _spend(world, task):
         world.counters["retry.sent"] += 1
         try_to_send(world, task)
+    elif route.gather is not None and world.now < task.exchange.target_at:
+        task.resend_at = world.now + BUDGET_RECHECK_S
+        world.counters["retry.waits_for_budget"] += 1
+    else:
+        fail(task, "the retry budget is used up")
+        world.counters["retry.no_budget"] += 1
 
 
 def hedge_if_due(world: RoutingWorld, task: Task) -> None:
@@ -106,9 +112,10 @@
         STALL_FACTOR, cost_of(first, world.domain, world.now)
     ):
         return
-    if not _spend(world, task, HEDGE_RESERVE):
+    if world.budget(task.service).is_scarce(world.members, world.now):
         world.counters["hedge.no_budget"] += 1
         return
+    world.budget(task.service).note_repeat(world.now)
     world.counters["hedge.sent"] += 1
     _send(world, task, chosen)
 
@@ -148,16 +155,33 @@
     return choose_server(rows, world.domain, avoided, room, world.now)
 
 
-def _spend(world: RoutingWorld, task: Task, reserve: float) -> bool:
-    """Take one repeat from the service's budget if more than *reserve* of it would be left."""
+def _spend(world: RoutingWorld, task: Task) -> bool:
+    """Take one repeat from the service's budget, if there is one for this task."""
     budget = world.budget(task.service)
-    floor = reserve * world.limits.retries.slack / world.members
-    if budget.left(world.members, world.now) < 1.0 + floor:
+    if not budget.allows(world.members, world.now):
+        return False
+    if budget.is_scarce(world.members, world.now) and not _is_decisive(world, task.exchange):
+        world.counters["retry.spared"] += 1
         return False
     budget.note_repeat(world.now)
     return True
 
 
+def _is_decisive(world: RoutingWorld, exchange: Exchange) -> bool:
+    """Return whether the answer misses its target unless a task without an attempt gets one.
+
+    Load pattern: servers of many shards refuse or fail part of their requests, and each shard's
+    budget covers a part of the repeats. A wide query may leave some shards out, so what is left
+    goes to queries that would otherwise fall below their least coverage.
+    """
+    gather = exchange.route.gather
+    if gather is None or world.now >= exchange.target_at:
+        return gather is None
+    total = len(exchange.tasks)
+    without = sum(task.state in (TaskState.WAITING, TaskState.FAILED) for task in exchange.tasks)
+    return total - without < gather.min_coverage * total
+
+
 def _can_still_help(world: RoutingWorld, task: Task) -> bool:
     """Return whether a new attempt would usually be answered before the target, or must be."""
     exchange = task.exchange
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -20,6 +20,8 @@
 """Time for which a server is left alone after the first connection that failed."""
 UNREACHABLE_LAST_S = 2.0
 """The longest such time; it doubles with each further failure in a row."""
+SHED_WEIGHT = 0.3
+"""Weight of a refusal among failures; a server that refuses part of its work yields to others."""
 SHED_PAUSE_S = 0.03
 """Time for which a server that sheds load is passed over, about the work of one request."""
 
@@ -67,9 +69,9 @@
         self.latency_at = now
         self.unreachable_count = 0
 
-    def note_failure(self, now: float) -> None:
+    def note_failure(self, now: float, weight: float = 1.0) -> None:
         """Count an answer that failed or never came."""
-        self.failures = self.recent_failures(now) + 1.0
+        self.failures = self.recent_failures(now) + weight
         self.failures_at = now
 
     def note_success(self, now: float) -> None:
@@ -84,7 +86,8 @@
         self.passed_over_until = max(self.passed_over_until, now + pause_s)
 
     def note_shed(self, now: float) -> None:
-        """Pass over the server for a moment after it refused work."""
+        """Pass over the server for a moment after it refused work, and remember that it did."""
+        self.note_failure(now, SHED_WEIGHT)
         self.passed_over_until = max(self.passed_over_until, now + SHED_PAUSE_S)
 
     def recent_failures(self, now: float) -> float:
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -106,6 +106,7 @@
         self.scripts = {}
         self.answers = {}
         self.answered_at = {}
+        self.asked_at = {}
         self.abandoned = []
         self.sent = []
         self._events = []
@@ -120,6 +121,7 @@
         self.world.catalog.apply_config(routing_config(routes, services, cap=cap))
 
     def ask(self, path="/one/1", request_id="q-1", wait_s=2.0):
+        self.asked_at[request_id] = self.now
         request = CallerRequest(request_id, "GET", HOST, path, self.now, self.now + wait_s)
         exchange = self.router.open(request)
         if not isinstance(exchange, Exchange):
