--- a/marigoldwalk/gateway/channel.py
+++ b/marigoldwalk/gateway/channel.py
@@ -12,13 +12,13 @@
 import httptools
 
 from ..routing.exchanges import LossReason, Lost
-from ..util.hangup import has_input
 from .dialect import RawReply
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..config.view import Address
+    from ..routing.exchanges import ServerReply
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +39,7 @@
 _READ = 1
 _WRITE = 2
 
-Outcome = RawReply | Lost
+Outcome = "ServerReply | Lost"
 
 
 class ChannelState(Enum):
@@ -63,9 +63,9 @@
         self.state = ChannelState.CONNECTING
         self.last_request_id = ""
         self.idle_since = 0.0
-        self.idle_timeout_s = DEFAULT_IDLE_S
+        self.idle_timeout_s = IDLE_SHARE * DEFAULT_IDLE_S
         self._on_idle_end = on_idle_end
-        self._is_stale: Callable[[RawReply], bool] | None = None
+        self._decode: Callable[[RawReply], ServerReply | None] | None = None
         self._outgoing = b""
         self._on_outcome: Callable[[Outcome], None] | None = None
         self._sent = False
@@ -73,6 +73,7 @@
         self._loop = gevent.get_hub().loop
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._watcher = None
+        self._watched = 0
         self._timer = None
         _set_options(self._sock)
 
@@ -80,15 +81,15 @@
         self,
         data: bytes,
         on_outcome: Callable[[Outcome], None],
-        is_stale: Callable[[RawReply], bool],
+        decode: Callable[[RawReply], ServerReply | None],
     ) -> None:
         """Send *data* as one request, after the connection has opened.
 
-        *is_stale* tells whether a response belongs to another request; such ones are passed over.
+        *decode* returns ``None`` for a response to another request; such ones are passed over.
         """
         self._outgoing = data
         self._on_outcome = on_outcome
-        self._is_stale = is_stale
+        self._decode = decode
         self._sent = False
         if self.state is ChannelState.CONNECTING:
             self._connect()
@@ -101,7 +102,13 @@
 
     def has_input(self) -> bool:
         """Return whether bytes, or the end of the stream, wait on an idle connection."""
-        return has_input(self._sock)
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def _connect(self) -> None:
         code = self._sock.connect_ex((self.address.host, self.address.port))
@@ -150,7 +157,7 @@
         self._outgoing = self._outgoing[count:]
         if self._outgoing:
             self._watch(_READ | _WRITE, self._on_ready)
-        else:
+        elif self._watched != _READ:
             self._watch(_READ, self._on_readable)
 
     def _on_ready(self) -> None:
@@ -160,6 +167,11 @@
             self._on_readable()
 
     def _on_readable(self) -> None:
+        if self.state is ChannelState.IDLE:
+            # No request waits for what arrives now.
+            self._close_socket()
+            self._on_idle_end(self)
+            return
         try:
             data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
@@ -182,35 +194,33 @@
         if self._body_bytes > MAX_REPLY_BYTES:
             self._end(LossReason.MALFORMED, "the reply is too large")
             return
-        replies, self._complete = self._complete, []
-        for reply in replies:
-            if self._is_stale(reply):
+        if not self._complete:
+            return
+        raw_replies, self._complete = self._complete, []
+        for raw in raw_replies:
+            reply = self._decode(raw)
+            if reply is None:
                 self._begun -= 1
                 continue
             # A second response in the same bytes belongs to no request.
-            is_clean = self._begun == 1 and not self._outgoing and len(replies) == 1
+            is_clean = self._begun == 1 and not self._outgoing and len(raw_replies) == 1
             self._finish(reply, is_clean and self._keep_alive)
             return
 
-    def _finish(self, reply: RawReply, keep: bool) -> None:
+    def _finish(self, reply: ServerReply, keep: bool) -> None:
         on_outcome, self._on_outcome = self._on_outcome, None
         if keep:
             self.state = ChannelState.IDLE
-            self.idle_timeout_s = IDLE_SHARE * _idle_timeout_s(reply)
-            self._watch(_READ, self._on_idle_input)
         else:
             self._close_socket()
         on_outcome(reply)
 
-    def _on_idle_input(self) -> None:
-        """Close an idle connection on which anything arrives: no request waits for it."""
-        self._close_socket()
-        self._on_idle_end(self)
-
     def _on_end_of_stream(self) -> None:
         if self._begun == 1 and self._headers_done and not self._is_framed:
-            self._finish(self._reply(), keep=False)
-            return
+            reply = self._decode(self._reply())
+            if reply is not None:
+                self._finish(reply, keep=False)
+                return
         self._end(LossReason.CLOSED, "the server closed the connection")
 
     def _end(self, reason: LossReason, detail: str = "") -> None:
@@ -230,6 +240,7 @@
 
     def _watch(self, events: int, callback: Callable[[], None]) -> None:
         self._stop_watching()
+        self._watched = events
         self._watcher = self._loop.io(self._sock.fileno(), events)
         self._watcher.start(callback)
 
@@ -238,6 +249,7 @@
             self._watcher.stop()
             self._watcher.close()
             self._watcher = None
+            self._watched = 0
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -263,8 +275,11 @@
         """Take in one header."""
         text = name.decode("latin-1")
         self._headers.append((text, value.decode("latin-1")))
-        if text.lower() in ("content-length", "transfer-encoding"):
+        lower = text.lower()
+        if lower in ("content-length", "transfer-encoding"):
             self._is_framed = True
+        elif lower == "keep-alive":
+            self.idle_timeout_s = IDLE_SHARE * _idle_timeout_s(value.decode("latin-1"))
 
     def on_headers_complete(self) -> None:
         """Note that all headers are in."""
@@ -294,12 +309,10 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
-def _idle_timeout_s(reply: RawReply) -> float:
-    for name, value in reply.headers:
-        if name.lower() != "keep-alive":
-            continue
-        for part in value.split(","):
-            key, _, number = part.strip().partition("=")
-            if key == "timeout" and number.isdecimal():
-                return float(number)
+def _idle_timeout_s(keep_alive: str) -> float:
+    """Return the time after which the server closes an idle connection."""
+    for part in keep_alive.split(","):
+        key, _, number = part.strip().partition("=")
+        if key == "timeout" and number.isdecimal():
+            return float(number)
     return DEFAULT_IDLE_S
--- a/marigoldwalk/gateway/performer.py
+++ b/marigoldwalk/gateway/performer.py
@@ -28,7 +28,7 @@
 class Call:
     """One exchange with what the shell needs for it."""
 
-    __slots__ = ("answer", "body", "exchange", "head", "timer")
+    __slots__ = ("answer", "body", "exchange", "head", "timer", "timer_due")
 
     def __init__(self, exchange: Exchange, head: bytes, body: bytes) -> None:
         self.exchange = exchange
@@ -37,6 +37,7 @@
         self.body = body
         self.answer: AsyncResult = AsyncResult()
         self.timer = None
+        self.timer_due = float("inf")
 
 
 class Performer:
@@ -102,7 +103,7 @@
         channel.request(
             data,
             lambda outcome: self._on_outcome(attempt, outcome),
-            lambda raw: self._dialect.read_reply(raw, request_id) is None,
+            lambda raw: self._dialect.read_reply(raw, request_id),
         )
         # Another exchange's task may have got the place that this event set free.
         self._arm(call)
@@ -112,12 +113,8 @@
         self._links.give_back(attempt.row, channel)
         exchange = attempt.task.exchange
         now = self._now()
-        if outcome:
-            reply = self._dialect.read_reply(outcome, exchange.request.request_id)
-            actions = self._router.reply(attempt, reply, now)
-        else:
-            actions = self._router.lost(attempt, outcome, now)
-        self._perform(actions)
+        step = self._router.reply if outcome else self._router.lost
+        self._perform(step(attempt, outcome, now))
         call = self._calls.get(exchange)
         if call is not None:
             self._arm(call)
@@ -131,19 +128,30 @@
             channel.close()
 
     def _arm(self, call: Call) -> None:
-        """Set the call's timer to the next moment at which something is due."""
+        """Have the call's timer fire when something is due, or forget a call that is over.
+
+        A timer that fires too early does no harm, so it is only ever moved forward.
+        """
         due = self._router.next_wake(call.exchange)
+        if due is None:
+            self._stop_timer(call)
+            if not any(task.open_attempts for task in call.exchange.tasks):
+                self._calls.pop(call.exchange, None)
+        elif due < call.timer_due:
+            self._stop_timer(call)
+            call.timer_due = due
+            call.timer = self._loop.timer(max(due - self._now(), LEAST_WAIT_S))
+            call.timer.start(self._wake, call)
+
+    def _stop_timer(self, call: Call) -> None:
+        call.timer_due = float("inf")
         if call.timer is not None:
             call.timer.stop()
             call.timer.close()
             call.timer = None
-        if due is not None:
-            call.timer = self._loop.timer(max(due - self._now(), LEAST_WAIT_S))
-            call.timer.start(self._wake, call)
-        elif not any(task.open_attempts for task in call.exchange.tasks):
-            self._calls.pop(call.exchange, None)
 
     def _wake(self, call: Call) -> None:
+        self._stop_timer(call)
         self._perform(self._router.wake(call.exchange, self._now()))
         if call.exchange in self._calls:
             self._arm(call)
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -118,7 +118,32 @@
     @property
     def is_over(self) -> bool:
         """Whether nothing more will come of the task."""
-        return self.state in (TaskState.DONE, TaskState.FAILED)
+        return self.state is TaskState.DONE or self.state is TaskState.FAILED
+
+    def finish(self, reply: ServerReply) -> None:
+        """End the task with its part."""
+        self.reply = reply
+        self.state = TaskState.DONE
+        self.exchange.done_count += 1
+
+    def fail(self, reason: str) -> None:
+        """End the task without a part; the first reason counts."""
+        if self.is_over:
+            return
+        self.state = TaskState.FAILED
+        self.failure = self.failure or reason
+        self.exchange.failed_count += 1
+
+    def hedge_from(self, time: float) -> None:
+        """Consider a second attempt at *time*."""
+        self.hedge_at = time
+        self.exchange.due_at = min(self.exchange.due_at, time)
+
+    def resend_from(self, time: float) -> None:
+        """Wait to be sent again until *time*."""
+        self.state = TaskState.WAITING
+        self.resend_at = time
+        self.exchange.due_at = min(self.exchange.due_at, time)
 
 
 @dataclass(slots=True, eq=False)
@@ -133,6 +158,10 @@
     give_up_at: float
     """The latest moment at which an answer reaches the caller in time."""
     tasks: list[Task] = field(default_factory=list)
+    done_count: int = 0
+    failed_count: int = 0
+    due_at: float = float("inf")
+    """No task has anything due before this."""
     is_answered: bool = False
     caller_left_at: float | None = None
 
--- a/marigoldwalk/routing/finishing.py
+++ b/marigoldwalk/routing/finishing.py
@@ -42,9 +42,7 @@
     """Answer *exchange*; its open attempts no longer matter."""
     exchange.is_answered = True
     for task in exchange.tasks:
-        if not task.is_over:
-            task.state = TaskState.FAILED
-            task.failure = task.failure or "the answer left without it"
+        task.fail("the answer left without it")
     world.actions.append(Finish(exchange, answer))
 
 
@@ -79,8 +77,8 @@
 
 
 def _merged(world: RoutingWorld, exchange: Exchange) -> Answer | None:
-    done = sum(task.state is TaskState.DONE for task in exchange.tasks)
-    failed = sum(task.state is TaskState.FAILED for task in exchange.tasks)
+    done = exchange.done_count
+    failed = exchange.failed_count
     total = len(exchange.tasks)
     is_enough = done > 0 and done >= exchange.route.gather.min_coverage * total
     if done + failed == total:
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from .exchanges import LossReason, TaskState
-from .sending import fail, release, retry
+from .exchanges import LossReason
+from .sending import release, retry
 
 if TYPE_CHECKING:
     from .exchanges import Attempt, Lost, ServerReply
@@ -22,8 +22,7 @@
     if task.is_over:
         world.counters["reply.superseded"] += 1
     elif reply.is_success:
-        task.reply = reply
-        task.state = TaskState.DONE
+        task.finish(reply)
     elif not reply.executed:
         _take_not_run(world, attempt)
     else:
@@ -46,7 +45,7 @@
     if task.is_over or task.open_attempts:
         return
     if lost.may_have_run and not task.exchange.route.idempotent:
-        fail(task, f"the server may have run it ({lost.reason.value})")
+        task.fail(f"the server may have run it ({lost.reason.value})")
         return
     retry(world, task, arrived=lost.reason not in _NEVER_ARRIVED)
 
@@ -86,4 +85,4 @@
     if task.exchange.route.idempotent and reply.status >= 500:
         retry(world, task)
     else:
-        fail(task, f"the server answered {reply.status}")
+        task.fail(f"the server answered {reply.status}")
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..errors import RefusalReason
-from .exchanges import Abandon, Exchange, Finish, OwnAnswer, Task, TaskState
+from .exchanges import Abandon, Exchange, Finish, OwnAnswer, Task
 from .finishing import finish_if_due
 from .outcomes import take_loss, take_reply
 from .sending import hedge_if_due, resend_if_due, send_first, serve_queue
@@ -17,6 +17,10 @@
 
 ANSWER_MARGIN_S = 0.004
 """Time for merging, timers that fire late and the way through this daemon."""
+LAG_MEMORY = 0.95
+"""Part of the highest lag seen that is kept from one answer to the next."""
+LAG_SHARE = 0.15
+"""The most of a target that is given up for answers that leave late."""
 ABANDON_AFTER_S = 0.3
 """Time after a caller has left at which its attempts still open are broken off; most end sooner,
 and a connection that is closed has to be opened again."""
@@ -75,12 +79,33 @@
         if exchange.caller_left_at is not None:
             self._abandon_if_due(exchange)
         elif not exchange.is_answered:
-            for task in exchange.tasks:
-                resend_if_due(world, task)
-                hedge_if_due(world, task)
+            self._note_lag(exchange)
+            self._run_due(exchange)
             finish_if_due(world, exchange)
         return world.take_actions()
 
+    def _note_lag(self, exchange: Exchange) -> None:
+        """Remember how late answers leave that were due at their target.
+
+        Load pattern: many wide queries on a small machine, whose events wait for the processor.
+        """
+        lag_s = self.world.now - exchange.target_at
+        if lag_s >= 0:
+            self.world.lag_s = max(lag_s, LAG_MEMORY * self.world.lag_s)
+
+    def _run_due(self, exchange: Exchange) -> None:
+        """Do what is due for the tasks, and note when something is due next."""
+        if self.world.now < exchange.due_at:
+            return
+        exchange.due_at = float("inf")
+        for task in exchange.tasks:
+            if task.is_over:
+                continue
+            resend_if_due(self.world, task)
+            hedge_if_due(self.world, task)
+            if not task.is_over:
+                exchange.due_at = min(exchange.due_at, task.hedge_at, task.resend_at)
+
     def caller_left(self, exchange: Exchange, now: float) -> None:
         """Note that nobody waits for the answer any more."""
         self.world.now = now
@@ -88,9 +113,7 @@
         exchange.caller_left_at = now
         exchange.is_answered = True
         for task in exchange.tasks:
-            if not task.is_over:
-                task.state = TaskState.FAILED
-                task.failure = "the caller left"
+            task.fail("the caller left")
 
     def next_wake(self, exchange: Exchange) -> float | None:
         """Return when :meth:`wake` is due next for *exchange*."""
@@ -99,12 +122,9 @@
             return exchange.caller_left_at + ABANDON_AFTER_S if has_open else None
         if exchange.is_answered:
             return None
-        due = exchange.give_up_at
+        due = min(exchange.give_up_at, exchange.due_at)
         if self.world.now < exchange.target_at < due:
-            due = exchange.target_at
-        for task in exchange.tasks:
-            if not task.is_over:
-                due = min(due, task.hedge_at, task.resend_at)
+            return exchange.target_at
         return due
 
     def _exchange(self, request: CallerRequest, route: Route) -> Exchange:
@@ -112,7 +132,8 @@
         lead_s = ANSWER_MARGIN_S + delay_s
         deadline_at = min(request.deadline_at, request.received_at + route.timeout_s)
         give_up_at = max(deadline_at - lead_s, request.received_at)
-        target_at = request.received_at + route.target_s - lead_s - delay_s
+        lag_s = min(self.world.lag_s, LAG_SHARE * route.target_s)
+        target_at = request.received_at + route.target_s - lead_s - delay_s - lag_s
         version = self.world.catalog.config.version
         return Exchange(request, route, version, min(target_at, give_up_at), give_up_at)
 
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -50,16 +50,9 @@
         world.counters["wait.all_busy"] += 1
     elif chosen is ALL_TRIED and task.avoided - task.ran_on:
         # Servers that refused it without running it may take it a little later.
-        task.state = TaskState.WAITING
-        task.resend_at = world.now + RESEND_AFTER_S
+        task.resend_from(world.now + RESEND_AFTER_S)
     else:
-        fail(task, chosen.reason)
-
-
-def fail(task: Task, reason: str) -> None:
-    """End a task without a part."""
-    task.state = TaskState.FAILED
-    task.failure = task.failure or reason
+        task.fail(chosen.reason)
 
 
 def resend_if_due(world: RoutingWorld, task: Task) -> None:
@@ -80,15 +73,15 @@
     route = task.exchange.route
     task.state = TaskState.WAITING
     if len(task.ran_on) >= route.max_attempts:
-        fail(task, "attempts are used up")
+        task.fail("attempts are used up")
     elif not arrived or _spend(world, task):
         world.counters["retry.sent"] += 1
         try_to_send(world, task)
     elif route.gather is not None and world.now < task.exchange.target_at:
-        task.resend_at = world.now + BUDGET_RECHECK_S
+        task.resend_from(world.now + BUDGET_RECHECK_S)
         world.counters["retry.waits_for_budget"] += 1
     else:
-        fail(task, "the retry budget is used up")
+        task.fail("the retry budget is used up")
         world.counters["retry.no_budget"] += 1
 
 
@@ -101,7 +94,7 @@
     if not is_alone or not route.idempotent or len(task.ran_on) >= route.max_attempts:
         task.hedge_at = float("inf")
         return
-    task.hedge_at = world.now + HEDGE_RECHECK_S
+    task.hedge_from(world.now + HEDGE_RECHECK_S)
     if not _can_still_help(world, task):
         return
     first = task.open_attempts[0].row
@@ -201,6 +194,6 @@
     task.state = TaskState.SENT
     task.open_attempts.append(attempt)
     task.ran_on.add(row.server_id)
-    task.hedge_at = world.now + hedge_s
+    task.hedge_from(world.now + hedge_s)
     row.open_attempts[attempt.number] = world.now + STALL_AFTER_HIGH * high_s
     world.actions.append(Send(attempt, exchange.give_up_at - world.now))
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -41,6 +41,8 @@
         self.now = started_at
         self.members = 1
         """Daemons that may be sending to the same servers, this one included."""
+        self.lag_s = 0.0
+        """How late answers that were due have left of late."""
         self.catalog = Catalog()
         self.splits = SplitChooser()
         self.counters: Counter[str] = Counter()
--- a/tests/gateway/backend.py
+++ b/tests/gateway/backend.py
@@ -21,14 +21,15 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def is_of_another_request(raw):
-    return dict(raw.headers).get("X-Id", OWN_ID) != OWN_ID
+def decode(raw):
+    """Return *raw*, or None if it belongs to another request."""
+    return raw if dict(raw.headers).get("X-Id", OWN_ID) == OWN_ID else None
 
 
 def exchange(channel, data=b"GET /x HTTP/1.1\r\n\r\n"):
     """Send a request on *channel* and return its outcome."""
     result = AsyncResult()
-    channel.request(data, result.set, is_of_another_request)
+    channel.request(data, result.set, decode)
     return result.get(timeout=PATIENCE_S)
 
 
--- a/tests/gateway/test_channel.py
+++ b/tests/gateway/test_channel.py
@@ -7,7 +7,7 @@
 from marigoldwalk.routing.exchanges import LossReason
 
 from ..daemon.scripted import PATIENCE_S, scripted
-from .backend import exchange, open_channel, response
+from .backend import decode, exchange, open_channel, response
 
 pytest_plugins = ("tests.daemon.conftest",)
 
@@ -120,7 +120,7 @@
     with scripted(...) as server:
         channel = open_channel(server.address)
         outcomes = []
-        channel.request(b"GET /x HTTP/1.1\r\n\r\n", outcomes.append, lambda raw: False)
+        channel.request(b"GET /x HTTP/1.1\r\n\r\n", outcomes.append, decode)
         server.asked.wait(PATIENCE_S)
         channel.close()
     assert [outcome.reason for outcome in outcomes] == [LossReason.ABANDONED]
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -54,7 +54,7 @@
 
 
 def test_the_reason_is_told_if_no_server_will_do():
-    busy = row("a", open_attempts={n: NOW + 1 for n in range(4)})
+    busy = row("a", open_attempts=dict.fromkeys(range(4), NOW + 1))
     assert chosen() is UNREGISTERED
     assert chosen(row("a"), tried={"a"}) is ALL_TRIED
     assert chosen(busy) is ALL_BUSY
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -197,3 +197,14 @@
     simulation.run(3.0)
     assert len(simulation.sent) <= 0.9 * (0.2 + 52) + 1
     assert simulation.answers["q-1"].status == 503
+
+
+def test_answers_leave_earlier_on_a_machine_whose_timers_fire_late():
+    simulation = shards_simulation(troubled=SHARDS[:1])
+    exchange = simulation.ask("/all/1")
+    simulation.now = exchange.target_at + 0.02
+    simulation.router.wake(exchange, simulation.now)
+    later = simulation.ask("/all/1", "q-2")
+    assert later.target_at - later.request.received_at == pytest.approx(
+        exchange.target_at - exchange.request.received_at - 0.02
+    )
