Have the strong daemons of a large fleet carry wide queries; hedge without regard to the first send's cost

Ruled out: the budget (two thirds unspent) and bandwidth. A hedge to a remote server also waited until the first server counted as stalled.

--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -14,14 +14,16 @@
 from ..application import bound_address, listen
 from ..daemon.http_server import make_server
 from ..daemon.logs import configure_logs
+from ..routing.delegation import Delegation
 from ..routing.membership import MemberReport, Membership
 from ..routing.router import Router
 from ..routing.world import RoutingWorld
 from ..util.clock import Clock
+from .carrying import Carrying
 from .feed import Feed
 from .front import Front
 from .gossip import GossipLink
-from .links import ServerLinks
+from .links import Links
 from .performer import Performer
 from .report import Reporter
 
@@ -61,31 +63,39 @@
         self.world = RoutingWorld(settings.domain, settings.limits, now())
         counters = self.world.counters
         router = Router(self.world)
-        self._links = ServerLinks(now, counters)
+        self._links = Links(now, counters)
         self._performer = Performer(router, self._links, dialect, now)
-        self._front = Front(router, self._performer, dialect, Reporter(counters), now)
+        self._membership = self._make_membership()
+        self._delegation = Delegation(self._membership)
+        carrying = Carrying(self._delegation, self._links, now, counters)
+        self._front = Front(router, self._performer, carrying, dialect, Reporter(counters), now)
         self._feed = Feed(store, self.world.catalog, now, counters)
         self._caller_listener = listen(settings.caller_address)
-        self._caller_server = make_server(self._caller_listener, self._front)
+        self._caller_server = make_server(self._caller_listener, self._front.callers)
+        self._peer_server = make_server(listen(settings.peer_address), self._front.peers)
         self._ready_server = make_server(
             listen(settings.readiness_address), _readiness_app(self.is_ready)
         )
-        self._membership = self._make_membership()
         self._gossip = GossipLink(
             self._membership, settings.peer_address, now, counters, self._note_members
         )
-        self._note_members(self._membership.possible_count())
+        self._note_members()
         self._stop_requested = Event()
 
     def _make_membership(self) -> Membership:
         settings = self.settings
+        incarnation = int(self._clock.started_at * 1000)
         own = MemberReport(
-            settings.name, settings.peer_address, int(self._clock.started_at * 1000), 0
+            settings.name, settings.peer_address, incarnation, 0, settings.domain, settings.cores
         )
         return Membership(own, settings.seeds, self._clock.now())
 
-    def _note_members(self, count: int) -> None:
-        self.world.members = count
+    def _note_members(self) -> None:
+        """Divide what the fleet may send among its members anew."""
+        world = self.world
+        world.members = self._membership.possible_count()
+        self._delegation.update(world.catalog.least_shard_connections, self._clock.now())
+        world.shard_share = self._delegation.shard_share
 
     @property
     def caller_address(self) -> Address:
@@ -106,6 +116,7 @@
         self._gossip.start()
         self._feed.start()
         self._ready_server.start()
+        self._peer_server.start()
         self._caller_server.start()
         self._sweeper = gevent.spawn(self._sweep)
         logger.info("started", extra={"fields": {"domain": self.settings.domain}})
@@ -122,12 +133,14 @@
         self._gossip.stop()
         self._links.close_all()
         self._caller_server.stop(timeout=0)
+        self._peer_server.stop(timeout=0)
         self._ready_server.stop(timeout=0)
 
     def request_stop(self) -> None:
         """Begin a planned stop: no longer ready, and connections end after their answers."""
         logger.info("stop requested", extra={"fields": {"open": self._caller_server.open_requests}})
         self._front.is_stopping = True
+        self._membership.leave()
         self._stop_requested.set()
 
     def reload(self) -> None:
@@ -140,10 +153,13 @@
         gevent.sleep(min(ROTATION_S, self.settings.grace_s / 2))
         self._caller_server.close_idle()
         end_at = began_at + self.settings.grace_s - LAST_S
-        while self._clock.now() < end_at and self._caller_server.open_requests:
+        while self._clock.now() < end_at and self._has_open_requests():
             gevent.sleep(POLL_S)
         self._caller_server.finish(max(0.0, end_at - self._clock.now()))
 
+    def _has_open_requests(self) -> bool:
+        return bool(self._caller_server.open_requests or self._peer_server.open_requests)
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_S)
--- a/marigoldwalk/gateway/dialect.py
+++ b/marigoldwalk/gateway/dialect.py
@@ -38,6 +38,9 @@
     def forwarded(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the headers of a caller that go on to backend servers."""
 
+    def deadline_headers(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers in which a caller says how long it waits."""
+
     def attempt_headers(self, deadline_s: float, server_id: str) -> list[tuple[str, str]]:
         """Return the headers that one attempt has of its own."""
 
--- a/marigoldwalk/gateway/front.py
+++ b/marigoldwalk/gateway/front.py
@@ -13,13 +13,16 @@
 from ..errors import RefusalReason
 from ..routing.exchanges import CallerRequest, MergedAnswer, OwnAnswer, PassedAnswer
 from ..util.hangup import HangupWatch
+from .carrying import CALLER_LEFT, ELAPSED_HEADER, REFUSED_STATUS
+from .dialect import RawReply
 from .performer import request_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ..routing.exchanges import Answer
+    from ..routing.exchanges import Answer, Exchange
     from ..routing.router import Router
+    from .carrying import CallerLeft, Carrying
     from .dialect import Dialect
     from .performer import Call, Performer
     from .report import Reporter
@@ -33,14 +36,19 @@
 
 StartResponse = Any
 
+_ELAPSED_KEY = f"HTTP_{ELAPSED_HEADER.upper().replace('-', '_')}"
+_NOT_TAKEN = OwnAnswer(REFUSED_STATUS, RefusalReason.NOT_READY)
+_PER_CONNECTION = frozenset(("connection", "keep-alive", "content-length", "date", "server"))
+
 
 class Front:
-    """A WSGI application that routes every request."""
+    """The WSGI applications for callers (:attr:`callers`) and for other daemons (:attr:`peers`)."""
 
     def __init__(
         self,
         router: Router,
         performer: Performer,
+        carrying: Carrying,
         dialect: Dialect,
         reporter: Reporter,
         now: Callable[[], float],
@@ -48,38 +56,81 @@
         self.is_stopping = False
         self._router = router
         self._performer = performer
+        self._carrying = carrying
         self._dialect = dialect
         self._reporter = reporter
         self._now = now
 
-    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
-        """Answer one request."""
+    def callers(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer a caller's request."""
         received_at = self._now()
-        handler = environ[HANDLER_KEY]
-        headers = handler.headers.items()
-        request = self._read(environ, headers, received_at)
+        request = self._read(environ, received_at)
         if isinstance(request, OwnAnswer):
             # What is left of the request cannot be told from the next one.
-            handler.close_connection = True
+            environ[HANDLER_KEY].close_connection = True
             return self._respond(environ, start_response, request)
-        body = request.body
         exchange = self._router.open(request.facts)
         if isinstance(exchange, OwnAnswer):
             self._reporter.refused(request.facts, exchange)
             return self._respond(environ, start_response, exchange)
-        forwarded = self._dialect.forwarded(headers)
-        head = request_head(request.facts.method, request.facts.path, forwarded, body)
-        call = self._performer.start(exchange, head, body)
+        if exchange.route.gather is not None:
+            answer = self._carry(exchange, environ)
+            if answer is CALLER_LEFT:
+                return self._leave(environ)
+            if answer is not None:
+                return self._respond(environ, start_response, answer)
+        return self._run(exchange, request.body, environ, start_response)
+
+    def peers(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Carry a wide query for another daemon."""
+        elapsed_ms = environ.get(_ELAPSED_KEY, "")
+        if self._router.world.catalog.config is None or not _is_number(elapsed_ms):
+            return self._respond(environ, start_response, _NOT_TAKEN)
+        request = self._read(environ, self._now() - float(elapsed_ms) / 1000)
+        if isinstance(request, OwnAnswer):
+            return self._respond(environ, start_response, request)
+        exchange = self._router.open(request.facts)
+        if isinstance(exchange, OwnAnswer):
+            return self._respond(environ, start_response, _NOT_TAKEN)
+        return self._run(exchange, request.body, environ, start_response)
+
+    def _run(
+        self,
+        exchange: Exchange,
+        body: bytes,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer a request by work of this daemon."""
+        call = self._performer.start(exchange, self._head(exchange, environ, body), body)
         answer = self._wait(call, environ)
         self._reporter.answered(exchange, answer, self._now())
         if answer is None:
-            handler.close_connection = True
-            return []
+            return self._leave(environ)
         return self._respond(environ, start_response, answer)
 
-    def _read(
-        self, environ: dict[str, Any], headers: list[tuple[str, str]], received_at: float
-    ) -> _Received | OwnAnswer:
+    def _carry(self, exchange: Exchange, environ: dict[str, Any]) -> RawReply | CallerLeft | None:
+        headers = environ[HANDLER_KEY].headers.items()
+        sent = [*self._dialect.forwarded(headers), *self._dialect.deadline_headers(headers)]
+        head = request_head(exchange.request.method, exchange.request.path, sent, b"")
+        return self._carrying.carry(exchange, head, environ[SOCKET_KEY])
+
+    def _head(self, exchange: Exchange, environ: dict[str, Any], body: bytes) -> bytes:
+        forwarded = [
+            (name, value)
+            for name, value in self._dialect.forwarded(environ[HANDLER_KEY].headers.items())
+            if name != ELAPSED_HEADER
+        ]
+        return request_head(exchange.request.method, exchange.request.path, forwarded, body)
+
+    @staticmethod
+    def _leave(environ: dict[str, Any]) -> list[bytes]:
+        """End the connection of a caller that has left."""
+        environ[HANDLER_KEY].close_connection = True
+        return []
+
+    def _read(self, environ: dict[str, Any], received_at: float) -> _Received | OwnAnswer:
+        headers = environ[HANDLER_KEY].headers.items()
         limits = self._router.world.catalog.config
         if _is_ambiguous(headers):
             return OwnAnswer(400, RefusalReason.MALFORMED)
@@ -114,9 +165,12 @@
             return call.answer.get()
 
     def _respond(
-        self, environ: dict[str, Any], start_response: StartResponse, answer: Answer
+        self, environ: dict[str, Any], start_response: StartResponse, answer: Answer | RawReply
     ) -> list[bytes]:
-        if isinstance(answer, PassedAnswer):
+        if isinstance(answer, RawReply):
+            status, body = answer.status, answer.body
+            headers = [(n, v) for n, v in answer.headers if n.lower() not in _PER_CONNECTION]
+        elif isinstance(answer, PassedAnswer):
             status, body = answer.reply.status, answer.reply.body
             headers = list(answer.reply.headers)
         elif isinstance(answer, MergedAnswer):
@@ -152,6 +206,10 @@
     return any(value.strip().lower() != "chunked" for value in codings)
 
 
+def _is_number(text: str) -> bool:
+    return text.replace(".", "", 1).isdecimal()
+
+
 def _size(headers: list[tuple[str, str]]) -> int:
     return sum(len(name) + len(value) + len(": \r\n") for name, value in headers)
 
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -31,6 +31,7 @@
 FIRST_ROUNDS = 20
 """Rounds after which daemons that started together know each other, at 75 members."""
 MAX_DATAGRAM_BYTES = 65_535
+MAX_NAMES_LOGGED = 12
 
 
 class GossipLink:
@@ -42,7 +43,7 @@
         listen_at: Address,
         now: Callable[[], float],
         counters: Counter[str],
-        on_change: Callable[[int], None],
+        on_change: Callable[[], None],
     ) -> None:
         self._membership = membership
         self._now = now
@@ -102,18 +103,28 @@
             self._note_count()
 
     def _note_count(self) -> None:
+        self._on_change()
         count = self._membership.possible_count()
         if count != self._known:
             self._known = count
             names = sorted(row.report.name for row in self._membership.rows())
-            logger.info("members changed", extra={"fields": {"count": count, "others": names}})
-            self._on_change(count)
+            fields = {"count": count, "others": names[:MAX_NAMES_LOGGED]}
+            logger.info("members changed", extra={"fields": fields})
 
 
 def encode_reports(reports: Sequence[MemberReport]) -> bytes:
     """Return a datagram with *reports*, the sender's own first."""
     members = [
-        ttypes.Member(r.name, r.address.host, r.address.port, r.incarnation, r.heartbeat)
+        ttypes.Member(
+            r.name,
+            r.address.host,
+            r.address.port,
+            r.incarnation,
+            r.heartbeat,
+            r.domain,
+            r.cores,
+            r.is_leaving,
+        )
         for r in reports
     ]
     buffer = TMemoryBuffer()
@@ -128,7 +139,15 @@
         gossip.read(TBinaryProtocolAccelerated(TMemoryBuffer(datagram)))
         gossip.validate()
         return [
-            MemberReport(m.name, Address(m.host, m.port), m.incarnation, m.heartbeat)
+            MemberReport(
+                m.name,
+                Address(m.host, m.port),
+                m.incarnation,
+                m.heartbeat,
+                m.domain,
+                m.cores,
+                m.leaving,
+            )
             for m in gossip.members
             if _is_complete(m)
         ]
@@ -138,5 +157,4 @@
 
 
 def _is_complete(member: ttypes.Member) -> bool:
-    fields = (member.name, member.host, member.port, member.incarnation, member.heartbeat)
-    return all(field is not None for field in fields)
+    return all(getattr(member, name) is not None for name in ttypes.Member.__slots__)
--- a/marigoldwalk/gateway/links.py
+++ b/marigoldwalk/gateway/links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from .channel import Channel, ChannelState
 
@@ -10,23 +10,33 @@
     from collections import Counter
     from collections.abc import Callable
 
-    from ..routing.tables import ServerRow
+    from ..config.view import Address
 
 PROVEN_IDLE_S = 1.0
 """Idle time up to which a connection is trusted with a request that may not be repeated; servers
 may close idle connections without notice, and what is sent on such a one may or may not run."""
 
 
-class ServerLinks:
-    """Open, reuse and close connections to the servers of the catalog."""
+class Endpoint(Protocol):
+    """Whatever connections are kept to: a backend server, or a daemon that carries queries."""
+
+    idle_connections: int
+
+    @property
+    def address(self) -> Address:
+        """Where connections go."""
+
+
+class Links:
+    """Open, reuse and close connections."""
 
     def __init__(self, now: Callable[[], float], counters: Counter[str]) -> None:
         self._now = now
         self._counters = counters
-        self._idle: dict[ServerRow, list[Channel]] = {}
+        self._idle: dict[Endpoint, list[Channel]] = {}
 
-    def take(self, row: ServerRow, request_id: str, proven: bool) -> Channel:
-        """Return a connection to the server of *row*, a new one if no idle one will do.
+    def take(self, row: Endpoint, request_id: str, proven: bool) -> Channel:
+        """Return a connection to *row*, a new one if no idle one will do.
 
         A connection that last carried *request_id* is not taken, since a late copy of that
         response could not be told from the new one. *proven* asks for one that was in use a
@@ -45,11 +55,11 @@
                 return channel
             channel.close()
         self._counters["connection.opened"] += 1
-        channel = Channel(row.registration.address, lambda ended: self._forget(row, ended))
+        channel = Channel(row.address, lambda ended: self._forget(row, ended))
         channel.last_request_id = request_id
         return channel
 
-    def give_back(self, row: ServerRow, channel: Channel) -> None:
+    def give_back(self, row: Endpoint, channel: Channel) -> None:
         """Keep *channel* for later requests if it is still open."""
         if channel.state is not ChannelState.IDLE:
             return
@@ -82,7 +92,7 @@
             channel.idle_timeout_s, limit_s
         )
 
-    def _forget(self, row: ServerRow, channel: Channel) -> None:
+    def _forget(self, row: Endpoint, channel: Channel) -> None:
         self._counters["connection.closed_idle"] += 1
         idle = self._idle.get(row, [])
         if channel in idle:
--- a/marigoldwalk/gateway/performer.py
+++ b/marigoldwalk/gateway/performer.py
@@ -17,7 +17,7 @@
     from ..routing.router import Router
     from .channel import Channel, Outcome
     from .dialect import Dialect
-    from .links import ServerLinks
+    from .links import Links
 
 logger = logging.getLogger(__name__)
 
@@ -51,7 +51,7 @@
     """
 
     def __init__(
-        self, router: Router, links: ServerLinks, dialect: Dialect, now: Callable[[], float]
+        self, router: Router, links: Links, dialect: Dialect, now: Callable[[], float]
     ) -> None:
         self._router = router
         self._links = links
--- a/marigoldwalk/gateway/settings.py
+++ b/marigoldwalk/gateway/settings.py
@@ -39,6 +39,8 @@
     """Peer addresses of a few daemons, which may be out of date."""
     store_address: Address
     log_level: str
+    cores: float
+    """Processor time that the daemon may use, in cores."""
     grace_s: float
     """Time from SIGTERM to the end of the process, seconds."""
     stability_s: float
@@ -57,6 +59,9 @@
     seeds: tuple[ServerAddress, ...] = Field(default=(), strict=False)
     store_address: ServerAddress
     log_level: Literal["debug", "info", "warning", "error"] = "info"
+    cores: float = Field(default=1.0, gt=0)
+    cpu_share: float = Field(default=1.0, gt=0)
+    """The part of each core that the daemon may use."""
     grace_s: float = Field(default=6.0, gt=0)
     drain_ms: float = Field(default=3000.0, ge=0)
     stability_ms: float = Field(default=4000.0, ge=0)
@@ -98,6 +103,7 @@
         seeds=model.seeds,
         store_address=model.store_address,
         log_level=model.log_level,
+        cores=model.cores * model.cpu_share,
         grace_s=model.grace_s,
         stability_s=model.stability_ms / 1000,
         limits=RoutingLimits(
--- a/marigoldwalk/platform/headers.py
+++ b/marigoldwalk/platform/headers.py
@@ -67,6 +67,10 @@
             and lower not in named
         ]
 
+    def deadline_headers(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers in which a caller says how long it waits."""
+        return [(name, value) for name, value in headers if name.lower() == DEADLINE_MS]
+
     def attempt_headers(self, deadline_s: float, server_id: str) -> list[tuple[str, str]]:
         """Return the headers that one attempt has of its own."""
         deadline_ms = max(1, int(deadline_s * 1000))
--- a/marigoldwalk/routing/budgets.py
+++ b/marigoldwalk/routing/budgets.py
@@ -34,7 +34,7 @@
 
         budget = RetryBudget(BudgetLimits(0.2, 10.0, 52.0))
         budget.note_first(now)
-        if budget.allows(members=6, now=now):
+        if budget.allows(share=1 / 6, now=now):
             budget.note_repeat(now)
     """
 
@@ -55,24 +55,24 @@
         self._step(now)[2] += 1
         self._repeat_count += 1
 
-    def allows(self, members: int, now: float) -> bool:
+    def allows(self, share: float, now: float) -> bool:
         """Return whether one more repeat keeps within this daemon's part of the budget."""
-        return self.left(members, now) >= 1.0
+        return self.left(share, now) >= 1.0
 
-    def left(self, members: int, now: float) -> float:
-        """Return how many repeats are left to a daemon out of *members*."""
+    def left(self, share: float, now: float) -> float:
+        """Return how many repeats are left to a daemon with *share* of the fleet's fixed part."""
         self._step(now)
-        return self._total(members, now) - self._repeat_count
+        return self._total(share, now) - self._repeat_count
 
-    def is_scarce(self, members: int, now: float) -> bool:
+    def is_scarce(self, share: float, now: float) -> bool:
         """Return whether so little is left that it should go where it decides an answer."""
-        return self.left(members, now) < SCARCE_SHARE * self._total(members, now)
+        return self.left(share, now) < SCARCE_SHARE * self._total(share, now)
 
-    def _total(self, members: int, now: float) -> float:
+    def _total(self, share: float, now: float) -> float:
         # A daemon that was restarted may have spent its share in the same window before.
         age = min(1.0, (now - self._started_at) / self._limits.window_s)
-        share = self._limits.slack / max(members, 1) * (0.5 + 0.5 * age)
-        return MARGIN * (self._limits.ratio * self._first_count + share)
+        fixed = self._limits.slack * share * (0.5 + 0.5 * age)
+        return MARGIN * (self._limits.ratio * self._first_count + fixed)
 
     def _step(self, now: float) -> list[float]:
         """Return the step of *now* after forgetting those out of the window."""
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -13,6 +13,10 @@
     from .model import Registration, Route, RoutingConfig, Service
 
 
+MANY_CONNECTIONS = 1_000_000
+"""Stands for no limit."""
+
+
 class Catalog:
     """Configuration in force and the table of backend servers.
 
@@ -29,6 +33,8 @@
         self.config: RoutingConfig | None = None
         self.rows: dict[str, ServerRow] = {}
         self.excluded_domains: frozenset[str] = frozenset()
+        self.shards: frozenset[str] = frozenset()
+        """The services that hold a shard of some route."""
         self._routes = RouteIndex(())
         self._by_service: dict[str, list[ServerRow]] = {}
 
@@ -38,6 +44,8 @@
             return False
         self.config = config
         self._routes = RouteIndex(config.routes)
+        gathers = [route.gather for route in config.routes if route.gather is not None]
+        self.shards = frozenset(shard for gather in gathers for shard in gather.shards)
         return True
 
     def find_route(self, host: str, path: str) -> Route | None:
@@ -48,6 +56,12 @@
         """Return a service's description under the configuration in force."""
         return self.config.services.get(name) if self.config else None
 
+    @property
+    def least_shard_connections(self) -> int:
+        """The fewest connections that a server of any shard takes; many if there are no shards."""
+        services = [self.config.services.get(shard) for shard in self.shards]
+        return min((s.max_connections for s in services if s), default=MANY_CONNECTIONS)
+
     def servers_of(self, service: str) -> list[ServerRow]:
         """Return the servers that may get new work of *service*."""
         return [row for row in self._by_service.get(service, ()) if self._is_usable(row)]
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -28,7 +28,9 @@
 """Silence after which a member is forgotten: longer than a machine is cut off or frozen."""
 FANOUT = 2
 """Members that each round of gossip is told to."""
-MAX_MEMBERS_TOLD = 24
+REMOTE_EVERY = 3
+"""Rounds of which one goes to another failure domain, where bytes are priced."""
+MAX_MEMBERS_TOLD = 16
 """Members in one datagram, so that it fits into one packet."""
 UNKNOWN_MEMBERS = 8
 """Members assumed before any other daemon was heard of."""
@@ -51,6 +53,10 @@
     incarnation: int
     """Start of its process in Unix milliseconds."""
     heartbeat: int
+    domain: str = ""
+    cores: float = 1.0
+    """Processor time that the daemon may use, in cores."""
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -111,8 +117,7 @@
                 row.heard_at += pause_s
         self._last_round_at = now
         self._round += 1
-        own = self.own
-        self.own = MemberReport(own.name, own.address, own.incarnation, own.heartbeat + 1)
+        self.own = replace(self.own, heartbeat=self.own.heartbeat + 1)
         self._forget(now)
         return self._targets(now)
 
@@ -122,6 +127,10 @@
         live = sorted(self.alive(now), key=lambda row: stable_hash(key, row.report.name))
         return [self.own, *(row.report for row in live[: MAX_MEMBERS_TOLD - 1])]
 
+    def leave(self) -> None:
+        """Tell from now on that this daemon is stopping."""
+        self.own = replace(self.own, is_leaving=True)
+
     def hear(self, reports: Iterable[MemberReport], now: float) -> None:
         """Take in what another daemon tells."""
         for report in reports:
@@ -142,11 +151,16 @@
                 del self._rows[name]
 
     def _targets(self, now: float) -> list[Address]:
-        live = {row.report.address for row in self.alive(now)}
-        others = {row.report.address for row in self._rows.values()} - live
-        chosen = self._pick(live, FANOUT)
-        if len(chosen) < FANOUT or self._round % 4 == 0:
-            chosen += self._pick(others.union(self._seeds) - set(chosen), 1)
+        live = self.alive(now)
+        near = {r.report.address for r in live if r.report.domain == self.own.domain}
+        far = {r.report.address for r in live} - near
+        silent = {row.report.address for row in self._rows.values()} - near - far
+        is_remote_round = self._round % REMOTE_EVERY == 0
+        chosen = self._pick(near, FANOUT)
+        if is_remote_round or len(chosen) < FANOUT:
+            chosen += self._pick(far, FANOUT - len(chosen) or 1)
+        if is_remote_round or not live:
+            chosen += self._pick(silent.union(self._seeds) - set(chosen), 1)
         return chosen if live else [*chosen, *(s for s in self._seeds if s not in chosen)]
 
     def _pick(self, addresses: Iterable[Address], count: int) -> list[Address]:
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -97,15 +97,13 @@
     task.hedge_from(world.now + HEDGE_RECHECK_S)
     if not _can_still_help(world, task):
         return
-    first = task.open_attempts[0].row
     chosen = _choose(world, task, task.avoided | task.ran_on)
     if not isinstance(chosen, ServerRow):
         return
-    if cost_of(chosen, world.domain, world.now) >= min(
-        STALL_FACTOR, cost_of(first, world.domain, world.now)
-    ):
+    if cost_of(chosen, world.domain, world.now) >= STALL_FACTOR:
+        # It would wait there as it does here.
         return
-    if world.budget(task.service).is_scarce(world.members, world.now):
+    if world.budget(task.service).is_scarce(world.share(task.service), world.now):
         world.counters["hedge.no_budget"] += 1
         return
     world.budget(task.service).note_repeat(world.now)
@@ -138,7 +136,7 @@
     service = world.catalog.service(task.service)
     if service is None:
         return slots + EXTRA_OPEN
-    share = int(CONNECTION_SHARE * service.max_connections / world.members)
+    share = int(CONNECTION_SHARE * service.max_connections * world.share(task.service))
     return max(1, min(share, slots + EXTRA_OPEN))
 
 
@@ -151,9 +149,10 @@
 def _spend(world: RoutingWorld, task: Task) -> bool:
     """Take one repeat from the service's budget, if there is one for this task."""
     budget = world.budget(task.service)
-    if not budget.allows(world.members, world.now):
+    share = world.share(task.service)
+    if not budget.allows(share, world.now):
         return False
-    if budget.is_scarce(world.members, world.now) and not _is_decisive(world, task.exchange):
+    if budget.is_scarce(share, world.now) and not _is_decisive(world, task.exchange):
         world.counters["retry.spared"] += 1
         return False
     budget.note_repeat(world.now)
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from ..config.view import Address
     from .model import Registration
 
 LATENCY_WEIGHT = 0.2
@@ -57,6 +58,11 @@
             return expected_at < now
         return False
 
+    @property
+    def address(self) -> Address:
+        """Where the server is reached."""
+        return self.registration.address
+
     def relative_latency(self, now: float) -> float:
         """Return how much slower than usual the server is believed to answer."""
         forgotten = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE_S)
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -41,6 +41,8 @@
         self.now = started_at
         self.members = 1
         """Daemons that may be sending to the same servers, this one included."""
+        self.shard_share = 1.0
+        """This daemon's share of what the fleet may send to the servers of shards."""
         self.lag_s = 0.0
         """How late answers that were due have left of late."""
         self.catalog = Catalog()
@@ -70,6 +72,12 @@
             tracker = self._latencies[route.name] = LatencyTracker(route.target_s)
         return tracker
 
+    def share(self, service: str) -> float:
+        """Return this daemon's share of what the fleet may send to the servers of *service*."""
+        if service in self.catalog.shards:
+            return self.shard_share
+        return 1 / self.members
+
     def queue(self, service: str) -> TaskQueue:
         """Return the tasks that wait for a server of *service*."""
         queue = self._queues.get(service)
--- a/marigoldwalk/wire/gen/gossip/ttypes.py
+++ b/marigoldwalk/wire/gen/gossip/ttypes.py
@@ -26,6 +26,9 @@
      - port
      - incarnation: Start of the daemon's process in Unix milliseconds.
      - heartbeat: Counts up for as long as the daemon lives.
+     - domain
+     - cores: Processor time that the daemon may use, in cores.
+     - leaving
 
     """
 
@@ -35,15 +38,21 @@
         'port',
         'incarnation',
         'heartbeat',
+        'domain',
+        'cores',
+        'leaving',
     )
 
 
-    def __init__(self, name=None, host=None, port=None, incarnation=None, heartbeat=None,):
+    def __init__(self, name=None, host=None, port=None, incarnation=None, heartbeat=None, domain=None, cores=None, leaving=None,):
         self.name = name
         self.host = host
         self.port = port
         self.incarnation = incarnation
         self.heartbeat = heartbeat
+        self.domain = domain
+        self.cores = cores
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -79,6 +88,21 @@
                     self.heartbeat = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.cores = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -109,6 +133,18 @@
             oprot.writeFieldBegin('heartbeat', TType.I64, 5)
             oprot.writeI64(self.heartbeat)
             oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 6)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.cores is not None:
+            oprot.writeFieldBegin('cores', TType.DOUBLE, 7)
+            oprot.writeDouble(self.cores)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 8)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -123,6 +159,12 @@
             raise TProtocolException(message='Required field incarnation is unset!')
         if self.heartbeat is None:
             raise TProtocolException(message='Required field heartbeat is unset!')
+        if self.domain is None:
+            raise TProtocolException(message='Required field domain is unset!')
+        if self.cores is None:
+            raise TProtocolException(message='Required field cores is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
         return
 
     def __repr__(self):
@@ -346,6 +388,9 @@
     (3, TType.I32, 'port', None, None, ),  # 3
     (4, TType.I64, 'incarnation', None, None, ),  # 4
     (5, TType.I64, 'heartbeat', None, None, ),  # 5
+    (6, TType.STRING, 'domain', 'UTF8', None, ),  # 6
+    (7, TType.DOUBLE, 'cores', None, None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
 )
 all_structs.append(Evidence)
 Evidence.thrift_spec = (
--- a/marigoldwalk/wire/gossip.thrift
+++ b/marigoldwalk/wire/gossip.thrift
@@ -15,6 +15,10 @@
   4: required i64 incarnation
   /** Counts up for as long as the daemon lives. */
   5: required i64 heartbeat
+  6: required string domain
+  /** Processor time that the daemon may use, in cores. */
+  7: required double cores
+  8: required bool leaving
 }
 
 /** A request content after which servers have crashed. */
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -102,6 +102,7 @@
         self.now = 100.0
         self.world = RoutingWorld(domain, limits or RoutingLimits(), self.now - 100.0)
         self.world.members = members
+        self.world.shard_share = 1 / members
         self.router = Router(self.world)
         self.scripts = {}
         self.answers = {}
--- a/tests/routing/test_budgets.py
+++ b/tests/routing/test_budgets.py
@@ -18,7 +18,7 @@
         if not wants_repeat:
             budget.note_first(now)
             first.append(now)
-        elif budget.allows(members=6, now=now):
+        elif budget.allows(share=1 / 6, now=now):
             budget.note_repeat(now)
             repeats.append(now)
         counted = sum(now - t < 10.0 for t in repeats)
@@ -34,7 +34,7 @@
         now = step / 60
         budget = budgets[step % 6]
         budget.note_first(now)
-        while budget.allows(members=6, now=now):
+        while budget.allows(share=1 / 6, now=now):
             budget.note_repeat(now)
             spent += 1
     assert 0.75 * (0.2 * 600 + 52) <= spent <= 0.2 * 600 + 52
@@ -43,12 +43,12 @@
 def test_a_daemon_that_has_just_started_holds_back():
     fresh = RetryBudget(LIMITS, started_at=0.0)
     old = RetryBudget(LIMITS, started_at=-60.0)
-    assert fresh.left(6, 0.0) < 0.6 * old.left(6, 0.0)
+    assert fresh.left(1 / 6, 0.0) < 0.6 * old.left(1 / 6, 0.0)
 
 
 def test_a_step_that_has_left_the_window_counts_no_more():
     budget = RetryBudget(LIMITS, started_at=-60.0)
-    full = budget.left(6, 0.0)
+    full = budget.left(1 / 6, 0.0)
     budget.note_repeat(0.0)
-    assert budget.left(6, 5.0) == full - 1
-    assert budget.left(6, 10.6) == full
+    assert budget.left(1 / 6, 5.0) == full - 1
+    assert budget.left(1 / 6, 10.6) == full
