Let three daemons read the store and the others ask them

Each daemon keeps what it read and serves it by the store's own calls, with the store's revisions, as long as the store itself confirmed it in the last 1.6 s; the others follow it and turn to the next reader, or to the store, when it fails.

--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import bottle
 import gevent
@@ -16,10 +16,11 @@
 from ..daemon.logs import configure_logs
 from ..routing.delegation import Delegation
 from ..routing.membership import MemberReport, Membership
+from ..routing.readers import Readers
 from ..routing.router import Router
 from ..routing.world import RoutingWorld
 from ..util.clock import Clock
-from .carrying import Carrying
+from .carrying import ELAPSED_KEY, Carrying
 from .feed import Feed
 from .front import Front
 from .gossip import GossipLink
@@ -28,9 +29,10 @@
 from .report import Reporter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from ..config.view import Address
+    from ..daemon.http_server import WsgiApplication
     from .dialect import Dialect
     from .facts import Store
     from .settings import GatewaySettings
@@ -52,11 +54,19 @@
 
     ::
 
-        gateway = Gateway(settings, store, dialect)
+        gateway = Gateway(settings, dialect, open_store)
         status = gateway.run()
+
+    *open_store* takes a function that tells whether what was read is fresh, and returns the store
+    and a WSGI application that serves a copy of it to other daemons.
     """
 
-    def __init__(self, settings: GatewaySettings, store: Store, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        open_store: Callable[[Callable[[], bool]], tuple[Store, WsgiApplication]],
+    ) -> None:
         self.settings = settings
         self._clock = Clock()
         now = self._clock.now
@@ -66,13 +76,17 @@
         self._links = Links(now, counters)
         self._performer = Performer(router, self._links, dialect, now)
         self._membership = self._make_membership()
-        self._delegation = Delegation(self._membership)
-        carrying = Carrying(self._delegation, self._links, now, counters)
+        self.delegation = Delegation(self._membership)
+        carrying = Carrying(self.delegation, self._links, now, counters)
         self._front = Front(router, self._performer, carrying, dialect, Reporter(counters), now)
-        self._feed = Feed(store, self.world.catalog, now, counters)
+        store, copy_app = open_store(self._is_fresh)
+        readers = Readers(self._membership)
+        self._feed = Feed(store, readers, self.world.catalog, now, counters)
         self._caller_listener = listen(settings.caller_address)
         self._caller_server = make_server(self._caller_listener, self._front.callers)
-        self._peer_server = make_server(listen(settings.peer_address), self._front.peers)
+        peer_app = _dispatch(copy_app, self._front.peers)
+        self._peer_listener = listen(settings.peer_address)
+        self._peer_server = make_server(self._peer_listener, peer_app)
         self._ready_server = make_server(
             listen(settings.readiness_address), _readiness_app(self.is_ready)
         )
@@ -94,14 +108,19 @@
         """Divide what the fleet may send among its members anew."""
         world = self.world
         world.members = self._membership.possible_count()
-        self._delegation.update(world.catalog.least_shard_connections, self._clock.now())
-        world.shard_share = self._delegation.shard_share
+        self.delegation.update(world.catalog.least_shard_connections, self._clock.now())
+        world.shard_share = self.delegation.shard_share
 
     @property
     def caller_address(self) -> Address:
         """Where callers reach this daemon."""
         return bound_address(self._caller_listener)
 
+    @property
+    def peer_address(self) -> Address:
+        """Where other daemons reach this one."""
+        return bound_address(self._peer_listener)
+
     @property
     def open_count(self) -> int:
         """How many requests have work under way."""
@@ -157,6 +176,9 @@
             gevent.sleep(POLL_S)
         self._caller_server.finish(max(0.0, end_at - self._clock.now()))
 
+    def _is_fresh(self) -> bool:
+        return self._feed.is_fresh()
+
     def _has_open_requests(self) -> bool:
         return bool(self._caller_server.open_requests or self._peer_server.open_requests)
 
@@ -176,6 +198,16 @@
     return gateway.run()
 
 
+def _dispatch(copy_app: WsgiApplication, queries: WsgiApplication) -> WsgiApplication:
+    """Return an application for what daemons ask each other: the copy of the store, or a query."""
+
+    def app(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        asks_copy = ELAPSED_KEY not in environ
+        return (copy_app if asks_copy else queries)(environ, start_response)
+
+    return app
+
+
 def _readiness_app(is_ready: Callable[[], bool]) -> bottle.Bottle:
     app = bottle.Bottle()
 
--- a/marigoldwalk/gateway/carrying.py
+++ b/marigoldwalk/gateway/carrying.py
@@ -28,6 +28,8 @@
 
 ELAPSED_HEADER = "X-Gateway-Elapsed-Ms"
 """Tells a carrier how long ago the query arrived at the daemon that hands it on."""
+ELAPSED_KEY = f"HTTP_{ELAPSED_HEADER.upper().replace('-', '_')}"
+"""The same in a WSGI environment."""
 REFUSED_STATUS = 421
 """A carrier's answer if it takes no queries: it is stopping or knows no configuration."""
 HOP_S = 0.008
--- a/marigoldwalk/gateway/facts.py
+++ b/marigoldwalk/gateway/facts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from ..config.view import Address
     from ..routing.model import Registration, RoutingConfig
 
 
@@ -60,7 +61,10 @@
 
 
 class Store(Protocol):
-    """The platform's store, as the gateway reads it."""
+    """The platform's store, or a daemon's copy of it, as the gateway reads it."""
+
+    def at(self, address: Address) -> Store:
+        """Return the copy that the daemon at *address* serves."""
 
     def read(self) -> Facts:
         """Return all that the store holds; raises ``StoreError``."""
--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -14,14 +14,19 @@
     from collections import Counter
     from collections.abc import Callable
 
+    from ..config.view import Address
     from ..routing.catalog import Catalog
+    from ..routing.readers import Readers
     from .facts import Fact, Facts, Store
 
 logger = logging.getLogger(__name__)
 
-WATCH_S = 2.8
-"""Longest wait of one watch. An answer that is lost is noticed by then, so that a daemon knows
-the state again within the stability time of 4 s after a disturbance of the store."""
+WATCH_S = 1.0
+"""Longest wait of one watch. It bounds how long a lost answer or a silent connection goes
+unnoticed, and with it the age of a copy."""
+FRESH_S = 1.6
+"""Age up to which this daemon's copy is served to others: a watch and its answer. Together with a
+follower's own watch it stays below the 3 s in which a configuration is in force."""
 COALESCE_S = 0.1
 """Pause after a change, so that changes in quick succession cost one call."""
 FIRST_BACKOFF_S = 0.3
@@ -37,6 +42,7 @@
     def __init__(
         self,
         store: Store,
+        readers: Readers,
         catalog: Catalog,
         now: Callable[[], float],
         counters: Counter[str],
@@ -45,6 +51,8 @@
         self.confirmed_at = float("-inf")
         """When the store last answered."""
         self._store = store
+        self._copies: dict[Address, Store] = {}
+        self._readers = readers
         self._catalog = catalog
         self._now = now
         self._counters = counters
@@ -64,33 +72,55 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
         self._store.close()
+        for copy in self._copies.values():
+            copy.close()
+
+    def is_fresh(self) -> bool:
+        """Return whether what this daemon knows was confirmed by the store itself just now."""
+        return self._now() - self.confirmed_at < FRESH_S
 
     def step(self) -> None:
-        """Read all, or watch once what is read already; raises ``StoreError``."""
-        if not self._is_read:
-            self.read()
+        """Read all, or watch once what is read already; raises ``StoreError``.
+
+        The first read is from the store, since a daemon that starts knows no others yet.
+        """
+        address = self._readers.source(self._now()) if self._is_read else None
+        if address is None:
+            self._step_at(self._store, is_direct=True)
             return
+        copy = self._copies.get(address)
+        if copy is None:
+            copy = self._copies[address] = self._store.at(address)
+        try:
+            self._step_at(copy, is_direct=False)
+        except StoreError as exc:
+            self._counters["store.reader_failed"] += 1
+            self._readers.note_failure(address, self._now())
+            fields = {"reader": str(address), "why": str(exc)}
+            logger.info("a reader of the store does not answer", extra={"fields": fields})
+
+    def _step_at(self, store: Store, is_direct: bool) -> None:
         try:
-            self.watch()
+            if self._is_read:
+                self._watch(store)
+            else:
+                self._read(store)
         except HistoryLostError:
             self._counters["store.history_lost"] += 1
-            logger.info("the store has dropped its history; reading all of it again")
-            self._is_read = False
+            logger.info("the history is gone; reading everything again")
+            self._read(store)
+        if is_direct:
+            self._note_answer()
 
-    def read(self) -> None:
-        """Read all that the store holds; raises ``StoreError``."""
-        told = self._store.read()
-        self._note_answer()
+    def _read(self, store: Store) -> None:
+        told = store.read()
         self._forget_absent(told.facts)
         self._take(told)
         self._is_read = True
         logger.info("the store was read", extra={"fields": self._state()})
 
-    def watch(self) -> None:
-        """Take in the next changes; raises ``StoreError``."""
-        told = self._store.watch(self.revision, WATCH_S)
-        self._note_answer()
-        self._take(told)
+    def _watch(self, store: Store) -> None:
+        self._take(store.watch(self.revision, WATCH_S))
         self._drop_removed()
 
     def note_failure(self, exc: StoreError) -> None:
--- a/marigoldwalk/gateway/front.py
+++ b/marigoldwalk/gateway/front.py
@@ -13,7 +13,7 @@
 from ..errors import RefusalReason
 from ..routing.exchanges import CallerRequest, MergedAnswer, OwnAnswer, PassedAnswer
 from ..util.hangup import HangupWatch
-from .carrying import CALLER_LEFT, ELAPSED_HEADER, REFUSED_STATUS
+from .carrying import CALLER_LEFT, ELAPSED_HEADER, ELAPSED_KEY, REFUSED_STATUS
 from .dialect import RawReply
 from .performer import request_head
 
@@ -36,7 +36,6 @@
 
 StartResponse = Any
 
-_ELAPSED_KEY = f"HTTP_{ELAPSED_HEADER.upper().replace('-', '_')}"
 _NOT_TAKEN = OwnAnswer(REFUSED_STATUS, RefusalReason.NOT_READY)
 _PER_CONNECTION = frozenset(("connection", "keep-alive", "content-length", "date", "server"))
 
@@ -83,7 +82,7 @@
 
     def peers(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Carry a wide query for another daemon."""
-        elapsed_ms = environ.get(_ELAPSED_KEY, "")
+        elapsed_ms = environ.get(ELAPSED_KEY, "")
         if self._router.world.catalog.config is None or not _is_number(elapsed_ms):
             return self._respond(environ, start_response, _NOT_TAKEN)
         request = self._read(environ, self._now() - float(elapsed_ms) / 1000)
--- a/marigoldwalk/platform/store.py
+++ b/marigoldwalk/platform/store.py
@@ -13,37 +13,53 @@
 from .records import KEYS, decode_item
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..config.view import Address
+    from .mirror import Mirror
 
-CALL_TIMEOUT_S = 1.0
-"""Time for an answer; the store's own time is 4 ms, and a slow one's 50 times that."""
+CALL_TIMEOUT_S = 0.8
+"""Time for an answer; the store's own time is 4 ms, and a slow one's a hundred times that."""
 _GONE = 410
 
 
 class StoreClient:
-    """Read and watch the store over one connection."""
+    """Read and watch the store, or another daemon's copy of it, over one connection.
+
+    What is read goes into *mirror*, which several clients may share.
+    """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, mirror: Mirror) -> None:
+        self.mirror = mirror
         self._address = address
         self._connection: GeventConnection | None = None
 
+    def at(self, address: Address) -> StoreClient:
+        """Return a client of the copy that the daemon at *address* serves."""
+        return StoreClient(address, self.mirror)
+
     def read(self) -> Facts:
         """Return all that the store holds; raises ``StoreError``."""
-        facts: list[Fact] = []
+        items: list[dict[str, Any]] = []
         revision = 0
         for prefix in KEYS:
             read, first_revision = self._range(prefix)
-            facts += read
+            items += read
             # Pages are no snapshot: what changed since the first one is told by the watch.
             revision = min(revision, first_revision) if revision else first_revision
-        return Facts(tuple(facts), revision)
+        if revision < self.mirror.revision:
+            raise StoreError(f"{self._address} is at an older revision than was read before")
+        self.mirror.replace(items, revision)
+        return Facts(_decode_all(items), revision)
 
     def watch(self, after: int, wait_s: float) -> Facts:
         """Return what changed after the revision *after*; raises ``StoreError``."""
         query = {"prefix": "", "after": after, "wait-ms": int(wait_s * 1000)}
         told = self._get("/-/kv-watch", query, wait_s + CALL_TIMEOUT_S)
-        facts = [fact for event in told.get("events", ()) if (fact := _decode(event))]
-        return Facts(tuple(facts), int(told["current-rev"]))
+        events = told.get("events", ())
+        revision = max(int(told["current-rev"]), after)
+        self.mirror.change(events, revision)
+        return Facts(_decode_all(events), revision)
 
     def close(self) -> None:
         """Close the connection."""
@@ -51,17 +67,16 @@
             self._connection.close()
             self._connection = None
 
-    def _range(self, prefix: str) -> tuple[list[Fact], int]:
-        facts: list[Fact] = []
+    def _range(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
+        items: list[dict[str, Any]] = []
         first_revision = 0
         query: dict[str, Any] = {"prefix": prefix}
         while True:
             page = self._get("/-/kv-range", query, CALL_TIMEOUT_S)
             first_revision = first_revision or int(page["current-rev"])
-            items = page["items"]
-            facts += [fact for item in items if (fact := _decode(item))]
-            if not page.get("has-more") or not items:
-                return facts, first_revision
+            items += page["items"]
+            if not page.get("has-more") or not page["items"]:
+                return items, first_revision
             query["after"] = items[-1]["key"]
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> dict[str, Any]:
@@ -90,6 +105,11 @@
         return self._connection
 
 
+def _decode_all(items: Iterable[dict[str, Any]]) -> tuple[Fact, ...]:
+    """Return what items or events say; keys that are none of ours say nothing."""
+    return tuple(fact for item in items if (fact := _decode(item)))
+
+
 def _decode(item: dict[str, Any]) -> Fact | None:
     """Return what an item or event says, or ``None`` if its key is none of ours."""
     value = None if item.get("tombstone") else b64decode(item.get("value", ""))
--- /dev/null
+++ b/marigoldwalk/routing/readers.py
@@ -0,0 +1,54 @@
+"""Which daemons read the platform's store themselves.
+
+Load pattern: each change in the store ends every waiting watch, so the calls grow with changes
+times daemons, and each is priced. A few daemons read the store; the others ask one of these.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..util.hashing import stable_hash
+
+if TYPE_CHECKING:
+    from ..config.view import Address
+    from .membership import MemberReport, Membership
+
+READERS = 3
+"""Daemons that read the store: one in each failure domain, and at least as many as this."""
+LEFT_ALONE_S = 3.0
+"""Time for which a reader that failed is not asked again; gossip suspects it after 3.5 s."""
+
+
+class Readers:
+    """Choose where this daemon reads."""
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._failed_until: dict[Address, float] = {}
+
+    def source(self, now: float) -> Address | None:
+        """Return the daemon to ask, or ``None`` for the store itself."""
+        own = self._membership.own
+        readers = self._readers(now)
+        if own in readers:
+            return None
+        usable = [r for r in readers if self._failed_until.get(r.address, 0.0) <= now]
+        # The own failure domain goes first, since bytes between domains are priced; after that
+        # each daemon has an order of its own, so that they spread over the readers.
+        usable.sort(key=lambda r: (r.domain != own.domain, stable_hash(own.name, r.name)))
+        return usable[0].address if usable else None
+
+    def note_failure(self, source: Address, now: float) -> None:
+        """Leave a reader that did not answer alone for a while."""
+        self._failed_until[source] = now + LEFT_ALONE_S
+
+    def _readers(self, now: float) -> list[MemberReport]:
+        own = self._membership.own
+        live = [own, *(row.report for row in self._membership.alive(now))]
+        staying = [report for report in live if not report.is_leaving]
+        ordered = sorted(staying, key=lambda report: stable_hash("reader", report.name))
+        first_of_domain = {report.domain: report for report in reversed(ordered)}
+        readers = list(first_of_domain.values())
+        others = [report for report in ordered if report not in readers]
+        return readers + others[: max(0, READERS - len(readers))]
--- a/tests/gateway/daemons.py
+++ b/tests/gateway/daemons.py
@@ -7,10 +7,8 @@
 import gevent
 from gevent import socket
 
-from marigoldwalk.gateway.application import Gateway
 from marigoldwalk.gateway.settings import parse_gateway_settings
-from marigoldwalk.platform.headers import PlatformHeaders
-from marigoldwalk.platform.store import StoreClient
+from marigoldwalk.platform.__main__ import make_gateway
 
 from ..daemon.scripted import PATIENCE_S
 from ..platform.standin import StandinServer, StandinStore, config_record, route_record, stopping
@@ -31,7 +29,7 @@
 
     def __init__(self, store):
         settings = parse_gateway_settings(SETTINGS.format(store=store.address))
-        self.gateway = Gateway(settings, StoreClient(store.address), PlatformHeaders())
+        self.gateway = make_gateway(settings)
         self.running = gevent.spawn(self.gateway.run)
 
     def wait_until_ready(self):
@@ -43,6 +41,10 @@
         self.gateway.request_stop()
         return self.running.get(timeout=PATIENCE_S)
 
+    def kill(self):
+        self.running.kill()
+        self.gateway.close()
+
     def connect(self):
         address = self.gateway.caller_address
         return socket.create_connection((address.host, address.port), PATIENCE_S)
@@ -100,5 +102,4 @@
         try:
             yield daemon, store
         finally:
-            daemon.running.kill()
-            daemon.gateway.close()
+            daemon.kill()
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -3,9 +3,12 @@
 import gevent
 import pytest
 
+from marigoldwalk.routing.delegation import Delegation
+from marigoldwalk.routing.membership import MemberReport
+
 from ..daemon.scripted import PATIENCE_S
 from ..platform.standin import StandinServer, config_record, route_record
-from .daemons import ask, deployment, read_response, request
+from .daemons import Daemon, ask, deployment, read_response, request
 
 
 def slow_answer(server_id, pause_s):
@@ -94,12 +97,15 @@
 )
 def test_a_bad_request_gets_a_clear_status_and_reaches_no_server(data, expected):
     servers = {"s-1": [StandinServer("i-1", b"ok")]}
-    with deployment(servers=servers) as (daemon, _):
-        with daemon.connect() as sock, sock.makefile("rb") as stream:
-            # What follows on the connection must not be taken for a request.
-            sock.sendall(data + request("/one/smuggled"))
-            assert read_response(stream)[0] == expected
-            assert read_response(stream) is None
+    with (
+        deployment(servers=servers) as (daemon, _),
+        daemon.connect() as sock,
+        sock.makefile("rb") as stream,
+    ):
+        # What follows on the connection must not be taken for a request.
+        sock.sendall(data + request("/one/smuggled"))
+        assert read_response(stream)[0] == expected
+        assert read_response(stream) is None
     assert servers["s-1"][0].requests == []
 
 
@@ -155,3 +161,39 @@
             while daemon.gateway.open_count:
                 gevent.sleep(0.01)
     assert daemon.gateway.world.counters["lost.abandoned"] == 1
+
+
+WIDE = {"service": None, "fanout-services": ["s-1"], "top-k": 4, "min-coverage": 0.5}
+
+
+def carrier_of(daemon):
+    address = daemon.gateway.peer_address
+    return MemberReport("m-carrier", address, 1, 1, "north", 1.0)
+
+
+def test_a_wide_query_is_carried_by_another_daemon(monkeypatch):
+    servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
+    with deployment([route_record("/all/", **WIDE)], servers) as (daemon, store):
+        carrier = Daemon(store)
+        carrier.wait_until_ready()
+        monkeypatch.setattr(Delegation, "choose", lambda *_: carrier_of(carrier))
+        status, headers, body = ask(daemon, request("/all/1"))[0]
+        assert (status, body) == (200, b"A" * 16)
+        assert headers["x-marigoldwalk-part-stamps"] == "stamp-i-1"
+        assert daemon.gateway.world.counters["carry.answered"] == 1
+        assert carrier.gateway.world.counters["answer.whole"] == 1
+        assert daemon.gateway.world.counters["answer.whole"] == 0
+        carrier.kill()
+        assert ask(daemon, request("/all/1", request_id="q-2"))[0][0] == 200
+        assert daemon.gateway.world.counters["carry.failed"] == 1
+
+
+def test_a_daemon_without_a_configuration_carries_nothing(monkeypatch):
+    with deployment([route_record("/all/", **WIDE)]) as (daemon, store):
+        carrier = Daemon(store)
+        carrier.wait_until_ready()
+        carrier.gateway.world.catalog.config = None
+        monkeypatch.setattr(Delegation, "choose", lambda *_: carrier_of(carrier))
+        assert ask(daemon, request("/all/1"))[0][0] == 200
+        assert daemon.gateway.world.counters["carry.failed"] == 1
+        carrier.kill()
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldwalk.config.view import Address
 from marigoldwalk.gateway.facts import (
     ConfigFact,
     DomainFact,
@@ -13,11 +14,13 @@
     ServerGone,
     StoreError,
 )
-from marigoldwalk.gateway.feed import RETURN_S, Feed
+from marigoldwalk.gateway.feed import FRESH_S, RETURN_S, Feed
 from marigoldwalk.routing.catalog import Catalog
 
 from ..routing.simulation import registration, routing_config, single_route
 
+GONE = HistoryLostError("the history is gone")
+
 
 class ScriptedStore:
     def __init__(self, *script):
@@ -37,10 +40,20 @@
         self.watched.append(after)
         return self._next()
 
+    def at(self, address):
+        return self.copies[address]
+
     def close(self):
         pass
 
 
+class Alone:
+    """Readers of a daemon that knows no others."""
+
+    def source(self, now):
+        return None
+
+
 class Clock:
     now = 100.0
 
@@ -53,8 +66,8 @@
     return Clock()
 
 
-def make_feed(clock, *script):
-    feed = Feed(ScriptedStore(*script), Catalog(), clock, Counter())
+def make_feed(clock, *script, readers=None):
+    feed = Feed(ScriptedStore(*script), readers or Alone(), Catalog(), clock, Counter())
     return feed, feed._catalog
 
 
@@ -67,33 +80,33 @@
 
 
 def test_a_whole_read_drops_what_it_does_not_name(clock):
-    feed, catalog = make_feed(clock, Facts(servers("a", "b"), 5), Facts(servers("b"), 9))
-    feed.read()
-    feed.read()
+    feed, catalog = make_feed(clock, Facts(servers("a", "b"), 5), GONE, Facts(servers("b"), 9))
+    feed.step()
+    feed.step()
     assert ids(catalog) == ["b"]
     assert feed.revision == 9
 
 
 def test_watching_goes_on_from_the_last_revision(clock):
     feed, _ = make_feed(clock, Facts((), 5), Facts((), 8), Facts((), 8))
-    feed.read()
-    feed.watch()
-    feed.watch()
+    feed.step()
+    feed.step()
+    feed.step()
     assert feed._store.watched == [5, 8]
 
 
 def test_a_server_that_is_gone_gets_nothing_more(clock):
     feed, catalog = make_feed(clock, Facts(servers("a", "b"), 5), Facts((ServerGone("a"),), 6))
-    feed.read()
-    feed.watch()
+    feed.step()
+    feed.step()
     assert ids(catalog) == ["b"]
 
 
 def test_an_entry_that_cannot_be_read_names_no_server(clock):
     gone = ServerGone("a", is_unreadable=True)
     feed, catalog = make_feed(clock, Facts(servers("a", "b"), 5), Facts((gone,), 6))
-    feed.read()
-    feed.watch()
+    feed.step()
+    feed.step()
     assert ids(catalog) == ["b"]
 
 
@@ -105,25 +118,25 @@
         Facts(servers("b"), 8),
         Facts((), 8),
     )
-    feed.read()
+    feed.step()
     feed.note_failure(StoreError("away"))
-    feed.watch()
+    feed.step()
     assert ids(catalog) == ["a", "b"]
     clock.now += RETURN_S / 2
-    feed.watch()
+    feed.step()
     clock.now += RETURN_S
-    feed.watch()
+    feed.step()
     assert ids(catalog) == ["b"]
 
 
 def test_a_whole_read_after_an_outage_does_not_empty_the_catalog_at_once(clock):
-    feed, catalog = make_feed(clock, Facts(servers("a"), 5), Facts((), 9), Facts((), 9))
-    feed.read()
+    feed, catalog = make_feed(clock, Facts(servers("a"), 5), GONE, Facts((), 9), Facts((), 9))
+    feed.step()
     feed.note_failure(StoreError("away"))
-    feed.read()
+    feed.step()
     assert ids(catalog) == ["a"]
     clock.now += RETURN_S + 0.1
-    feed.watch()
+    feed.step()
     assert ids(catalog) == []
 
 
@@ -133,14 +146,15 @@
         Facts((DomainFact("north", True),), 5),
         Facts((DomainFact("north", False),), 6),
         Facts((DomainFact("north", True),), 7),
+        GONE,
         Facts((), 8),
     )
-    feed.read()
+    feed.step()
     assert catalog.excluded_domains == {"north"}
-    feed.watch()
+    feed.step()
     assert catalog.excluded_domains == frozenset()
-    feed.watch()
-    feed.read()
+    feed.step()
+    feed.step()
     assert catalog.excluded_domains == frozenset()
 
 
@@ -148,16 +162,62 @@
     new = ConfigFact(routing_config([single_route()], ["s-1"], version=4))
     old = ConfigFact(routing_config([], [], version=3))
     feed, catalog = make_feed(clock, Facts((new,), 5), Facts((old,), 6))
-    feed.read()
-    feed.watch()
+    feed.step()
+    feed.step()
     assert catalog.config.version == 4
 
 
 def test_lost_history_leads_to_a_whole_read(clock):
+    feed, catalog = make_feed(clock, Facts(servers("a"), 5), GONE, Facts(servers("b"), 9))
+    feed.step()
+    feed.step()
+    assert ids(catalog) == ["b"]
+
+
+class OneReader:
+    """Readers of a daemon that asks one other as long as it answers."""
+
+    def __init__(self):
+        self.address = Address("10.0.0.1", 7000)
+        self.failures = []
+
+    def source(self, now):
+        return None if self.failures else self.address
+
+    def note_failure(self, source, now):
+        self.failures.append(source)
+
+
+def test_the_first_read_is_from_the_store_and_later_ones_from_a_reader(clock):
+    readers = OneReader()
+    feed, catalog = make_feed(clock, Facts(servers("a"), 5), readers=readers)
+    copy = ScriptedStore(Facts(servers("b"), 6))
+    feed._store.copies = {readers.address: copy}
+    feed.step()
+    assert feed.is_fresh()
+    feed.step()
+    assert ids(catalog) == ["a", "b"]
+    assert copy.watched == [5]
+
+
+def test_a_reader_that_fails_is_left_for_the_store(clock):
+    readers = OneReader()
     feed, catalog = make_feed(
-        clock, Facts(servers("a"), 5), HistoryLostError("gone"), Facts(servers("b"), 9)
+        clock, Facts(servers("a"), 5), Facts(servers("c"), 9), readers=readers
     )
+    feed._store.copies = {readers.address: ScriptedStore(StoreError("silent"))}
     feed.step()
     feed.step()
+    assert readers.failures == [readers.address]
     feed.step()
-    assert ids(catalog) == ["b"]
+    assert ids(catalog) == ["a", "c"]
+
+
+def test_a_follower_does_not_pass_its_copy_on(clock):
+    readers = OneReader()
+    feed, _ = make_feed(clock, Facts(servers("a"), 5), readers=readers)
+    feed._store.copies = {readers.address: ScriptedStore(Facts((), 6), Facts((), 7))}
+    feed.step()
+    clock.now += FRESH_S + 0.1
+    feed.step()
+    assert not feed.is_fresh()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,7 @@
     StoreError,
 )
 from marigoldwalk.platform import store as store_module
+from marigoldwalk.platform.mirror import Mirror
 from marigoldwalk.platform.store import StoreClient
 
 from .standin import StandinServer, StandinStore, config_record, stopping
@@ -25,7 +26,7 @@
 
 @pytest.fixture
 def client(standin):
-    client = StoreClient(standin.address)
+    client = StoreClient(standin.address, Mirror(lambda: True))
     yield client
     client.close()
 
@@ -89,4 +90,4 @@
     address = standin.address
     standin.stop()
     with pytest.raises(StoreError):
-        StoreClient(address).read()
+        StoreClient(address, Mirror(lambda: True)).read()
--- /dev/null
+++ b/tests/routing/test_delegation.py
@@ -0,0 +1,118 @@
+"""Load pattern: a large fleet of unequal daemons, each of which sees few queries."""
+
+from __future__ import annotations
+
+import pytest
+
+from marigoldwalk.config.view import Address
+from marigoldwalk.routing.delegation import PASS_OVER_S, Delegation
+from marigoldwalk.routing.membership import MemberReport, Membership
+from marigoldwalk.routing.readers import LEFT_ALONE_S, READERS, Readers
+
+NOW = 100.0
+
+
+def report(number, cores, domain, leaving=False):
+    address = Address(f"10.0.0.{number}", 7000)
+    return MemberReport(f"m-{number}", address, 1, 1, domain, cores, leaving)
+
+
+def fleet(count, strong=(), domains=("north", "south")):
+    """Return the reports of *count* daemons, those in *strong* with four times the cores."""
+    return [report(n, 2.0 if n in strong else 0.5, domains[n % len(domains)]) for n in range(count)]
+
+
+def membership_of(own, reports):
+    membership = Membership(own, (), NOW)
+    membership.hear(reports, NOW)
+    return membership
+
+
+def delegation_of(own, reports, max_connections=60):
+    delegation = Delegation(membership_of(own, reports))
+    delegation.update(max_connections, NOW)
+    return delegation
+
+
+def test_in_a_small_fleet_every_daemon_carries_its_own_queries():
+    reports = fleet(9)
+    delegation = delegation_of(reports[0], reports, max_connections=26)
+    assert delegation.choose(NOW) is None
+    assert delegation.shard_share == pytest.approx(1 / 9)
+
+
+def test_in_a_large_fleet_the_strong_daemons_of_a_domain_carry():
+    reports = fleet(75, strong=(0, 2, 1, 3))
+    weak = delegation_of(reports[10], reports)
+    assert set(weak.carriers) == {"m-0", "m-2"}
+    assert weak.choose(NOW).name in weak.carriers
+    strong = delegation_of(reports[0], reports)
+    assert strong.choose(NOW) is None
+    assert strong.shard_share > 10 * weak.shard_share
+
+
+def test_shares_of_the_whole_fleet_add_up_to_no_more_than_one():
+    reports = fleet(75, strong=(0, 2, 1, 3))
+    assert sum(delegation_of(own, reports).shard_share for own in reports) <= 1.0
+
+
+def test_the_least_loaded_carrier_is_chosen():
+    reports = fleet(75, strong=(0, 2))
+    delegation = delegation_of(reports[10], reports)
+    chosen = []
+    for _ in range(10):
+        carrier = delegation.choose(NOW)
+        delegation.begin(carrier)
+        chosen.append(carrier.name)
+    assert sorted(chosen).count("m-0") == 5
+
+
+def test_a_carrier_that_failed_is_left_alone_for_a_while():
+    reports = fleet(75, strong=(0, 2))
+    delegation = delegation_of(reports[10], reports)
+    for _ in range(2):
+        carrier = delegation.choose(NOW)
+        delegation.begin(carrier)
+        delegation.end(carrier, failed=True, now=NOW)
+    assert delegation.choose(NOW) is None
+    assert delegation.choose(NOW + PASS_OVER_S) is not None
+
+
+def test_a_daemon_that_stops_carries_no_more():
+    reports = fleet(75, strong=(0, 2))
+    reports[0] = report(0, 2.0, "north", leaving=True)
+    assert set(delegation_of(reports[10], reports).carriers) == {"m-2"}
+
+
+def test_if_all_strong_daemons_are_gone_others_carry():
+    reports = fleet(75)
+    delegation = delegation_of(reports[10], reports)
+    assert 1 <= len(delegation.carriers) <= 6
+
+
+def test_a_few_daemons_read_the_store_and_the_others_ask_them():
+    reports = fleet(30, domains=("north", "south", "west"))
+    sources = [Readers(membership_of(own, reports)).source(NOW) for own in reports]
+    assert sources.count(None) == READERS
+    asked = {address for address in sources if address is not None}
+    assert len(asked) == READERS
+
+
+def test_a_daemon_asks_the_reader_of_its_own_domain():
+    reports = fleet(30, domains=("north", "south", "west"))
+    by_address = {report.address: report for report in reports}
+    for own in reports:
+        source = Readers(membership_of(own, reports)).source(NOW)
+        assert source is None or by_address[source].domain == own.domain
+
+
+def test_a_reader_that_failed_is_left_alone_and_at_last_the_store_is_asked():
+    reports = fleet(30)
+    by_source = [Readers(membership_of(own, reports)) for own in reports]
+    readers = next(r for r in by_source if r.source(NOW) is not None)
+    seen = []
+    while (source := readers.source(NOW)) is not None:
+        seen.append(source)
+        readers.note_failure(source, NOW)
+    assert len(set(seen)) == READERS
+    assert readers.source(NOW + LEFT_ALONE_S) == seen[0]
