--- a/marigoldwalk/daemon/admin.py
+++ b/marigoldwalk/daemon/admin.py
@@ -41,7 +41,7 @@
         self.app.route("/metrics", "GET", self._metrics)
         self.app.route("/live", "GET", lambda: {"live": True})
         self.app.route("/ready", "GET", lambda: readiness_response(readiness))
-        self.app.default_error_handler = _unhandled
+        self.app.default_error_handler = unhandled_page
         self._world = world
         self._shell_counters = shell_counters
         self._registry = make_registry(recorder, self._families)
@@ -52,7 +52,7 @@
     def _explain(self, group: str) -> bottle.HTTPResponse:
         found = explain(self._world, group)
         if found is None:
-            return _error(404, Code.UNKNOWN_GROUP, f"There is no group {group!r}.")
+            return error_page(404, Code.UNKNOWN_GROUP, f"There is no group {group!r}.")
         return bottle.HTTPResponse(found)
 
     def _metrics(self) -> bottle.HTTPResponse:
@@ -75,12 +75,14 @@
     return GaugeMetricFamily(f"{PREFIX}_{name}", help_text, value)
 
 
-def _error(http_status: int, code: Code, reason: str) -> bottle.HTTPResponse:
+def error_page(http_status: int, code: Code, reason: str) -> bottle.HTTPResponse:
+    """Return a page that tells a result code and its reason."""
     body = {"code": int(code), "name": code.name, "reason": reason}
     headers = {"Content-Type": "application/json"}
     return bottle.HTTPResponse(json.dumps(body), http_status, headers)
 
 
-def _unhandled(error: bottle.HTTPError) -> bottle.HTTPResponse:
+def unhandled_page(error: bottle.HTTPError) -> bottle.HTTPResponse:
+    """Return the page for an error that bottle found."""
     code = Code.NOT_FOUND if error.status_code in (404, 405) else Code.INTERNAL
-    return _error(error.status_code, code, f"{error.body}.")
+    return error_page(error.status_code, code, f"{error.body}.")
--- a/marigoldwalk/daemon/logs.py
+++ b/marigoldwalk/daemon/logs.py
@@ -6,7 +6,6 @@
 import logging
 import sys
 from datetime import UTC, datetime
-from typing import TextIO
 
 
 class JsonLines(logging.Formatter):
@@ -36,9 +35,9 @@
         return json.dumps(line, default=str)
 
 
-def configure_logs(daemon: str, level: str, stream: TextIO | None = None) -> None:
-    """Send the records of the whole process to *stream* (standard error by default)."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+def configure_logs(daemon: str, level: str, handler: logging.Handler | None = None) -> None:
+    """Send the records of the whole process to *handler* (standard error by default)."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonLines(daemon))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/marigoldwalk/gateway/admin.py
@@ -0,0 +1,114 @@
+"""The administration pages of a gateway daemon, read by operators and their monitoring."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import bottle
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client.core import GaugeMetricFamily
+
+from ..daemon.admin import error_page, unhandled_page
+from ..errors import Code
+from ..metrics.export import PREFIX, counter_families, make_registry, render
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.metrics_core import Metric
+
+    from ..metrics.recorder import Recorder
+    from ..routing.delegation import Delegation
+    from ..routing.membership import Membership
+    from ..routing.tables import ServerRow
+    from ..routing.world import RoutingWorld
+
+
+class GatewayAdmin:
+    """A WSGI application, :attr:`app`, over the routing tables; it changes nothing."""
+
+    def __init__(
+        self,
+        world: RoutingWorld,
+        membership: Membership,
+        delegation: Delegation,
+        recorder: Recorder,
+    ) -> None:
+        self.app = bottle.Bottle()
+        self.app.route("/status", "GET", self._status)
+        self.app.route("/explain/<route>", "GET", self._explain)
+        self.app.route("/metrics", "GET", self._metrics)
+        self.app.default_error_handler = unhandled_page
+        self._world = world
+        self._membership = membership
+        self._delegation = delegation
+        self._registry = make_registry(recorder, self._families)
+
+    def _status(self) -> dict[str, Any]:
+        catalog = self._world.catalog
+        now = self._world.now
+        return {
+            "name": self._membership.own.name,
+            "domain": self._world.domain,
+            "version": catalog.config.version if catalog.config else None,
+            "servers": len(catalog.rows),
+            "excluded_domains": sorted(catalog.excluded_domains),
+            "members": [
+                {"name": row.report.name, "state": row.state(now).value}
+                for row in self._membership.rows()
+            ],
+            "carriers": sorted(self._delegation.carriers),
+        }
+
+    def _explain(self, route: str) -> bottle.HTTPResponse:
+        catalog = self._world.catalog
+        routes = catalog.config.routes if catalog.config else ()
+        found = next((entry for entry in routes if entry.name == route), None)
+        if found is None:
+            return error_page(404, Code.UNKNOWN_GROUP, f"There is no route {route!r}.")
+        rows = [
+            self._server(row) for service in found.services for row in catalog.registered(service)
+        ]
+        return bottle.HTTPResponse(
+            {
+                "route": found.name,
+                "idempotent": found.idempotent,
+                "target_ms": found.target_s * 1000,
+                "max_attempts": found.max_attempts,
+                "servers": rows,
+            }
+        )
+
+    def _server(self, row: ServerRow) -> dict[str, Any]:
+        now = self._world.now
+        registration = row.registration
+        return {
+            "server": row.server_id,
+            "service": registration.service,
+            "domain": registration.domain,
+            "draining": registration.draining,
+            "excluded": registration.domain in self._world.catalog.excluded_domains,
+            "cold_s": round(max(0.0, row.cold_until - now), 2),
+            "relative_latency": round(row.relative_latency(now), 2),
+            "recent_failures": round(row.recent_failures(now), 2),
+            "open": len(row.open_attempts),
+            "stalled": row.is_stalled(now),
+        }
+
+    def _metrics(self) -> bottle.HTTPResponse:
+        headers = {"Content-Type": CONTENT_TYPE_LATEST}
+        return bottle.HTTPResponse(render(self._registry), 200, headers)
+
+    def _families(self) -> Iterator[Metric]:
+        world = self._world
+        catalog = world.catalog
+        yield from counter_families(world.counters)
+        version = catalog.config.version if catalog.config else 0
+        yield _gauge("version", "Version of the configuration in force", version)
+        yield _gauge("servers", "Registered backend servers", len(catalog.rows))
+        yield _gauge("members", "Daemons that may be sending", world.members)
+        yield _gauge("timer_lag_seconds", "How late due answers have left", world.lag_s)
+
+
+def _gauge(name: str, help_text: str, value: float) -> Metric:
+    return GaugeMetricFamily(f"{PREFIX}_{name}", help_text, value)
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -13,13 +13,16 @@
 
 from ..application import bound_address, listen
 from ..daemon.http_server import make_server
+from ..daemon.log_output import LineOutput
 from ..daemon.logs import configure_logs
+from ..metrics.recorder import Recorder
 from ..routing.delegation import Delegation
 from ..routing.membership import MemberReport, Membership
 from ..routing.readers import Readers
 from ..routing.router import Router
 from ..routing.world import RoutingWorld
 from ..util.clock import Clock
+from .admin import GatewayAdmin
 from .carrying import ELAPSED_KEY, Carrying
 from .feed import Feed
 from .front import Front
@@ -78,7 +81,9 @@
         self._membership = self._make_membership()
         self.delegation = Delegation(self._membership)
         carrying = Carrying(self.delegation, self._links, now, counters)
-        self._front = Front(router, self._performer, carrying, dialect, Reporter(counters), now)
+        recorder = Recorder()
+        reporter = Reporter(counters, recorder)
+        self._front = Front(router, self._performer, carrying, dialect, reporter, now)
         store, copy_app = open_store(self._is_fresh)
         readers = Readers(self._membership)
         self._feed = Feed(store, readers, self.world.catalog, now, counters)
@@ -90,6 +95,11 @@
         self._ready_server = make_server(
             listen(settings.readiness_address), _readiness_app(self.is_ready)
         )
+        self._admin_server = None
+        if settings.admin_address is not None:
+            admin = GatewayAdmin(self.world, self._membership, self.delegation, recorder)
+            self._admin_listener = listen(settings.admin_address)
+            self._admin_server = make_server(self._admin_listener, admin.app)
         self._gossip = GossipLink(
             self._membership, settings.peer_address, now, counters, self._note_members
         )
@@ -121,6 +131,11 @@
         """Where other daemons reach this one."""
         return bound_address(self._peer_listener)
 
+    @property
+    def admin_address(self) -> Address:
+        """Where operators reach this daemon."""
+        return bound_address(self._admin_listener)
+
     @property
     def open_count(self) -> int:
         """How many requests have work under way."""
@@ -135,6 +150,8 @@
         self._gossip.start()
         self._feed.start()
         self._ready_server.start()
+        if self._admin_server is not None:
+            self._admin_server.start()
         self._peer_server.start()
         self._caller_server.start()
         self._sweeper = gevent.spawn(self._sweep)
@@ -154,6 +171,8 @@
         self._caller_server.stop(timeout=0)
         self._peer_server.stop(timeout=0)
         self._ready_server.stop(timeout=0)
+        if self._admin_server is not None:
+            self._admin_server.stop(timeout=0)
 
     def request_stop(self) -> None:
         """Begin a planned stop: no longer ready, and connections end after their answers."""
@@ -190,7 +209,7 @@
 
 def serve(make_gateway: Callable[[], Gateway], name: str, log_level: str) -> int:
     """Run a gateway in this process until SIGTERM or SIGINT; returns the exit status."""
-    configure_logs(name, log_level, sys.stdout)
+    configure_logs(name, log_level, LineOutput(sys.stdout.fileno()))
     gateway = make_gateway()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, gateway.request_stop)
--- a/marigoldwalk/gateway/report.py
+++ b/marigoldwalk/gateway/report.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections import Counter
 
+    from ..metrics.recorder import Recorder
     from ..routing.exchanges import Answer, CallerRequest, Exchange
 
 logger = logging.getLogger(__name__)
@@ -21,8 +22,9 @@
 class Reporter:
     """Count every answer, and log those that fall short."""
 
-    def __init__(self, counters: Counter[str]) -> None:
+    def __init__(self, counters: Counter[str], recorder: Recorder) -> None:
         self._counters = counters
+        self._recorder = recorder
 
     def refused(self, request: CallerRequest, answer: OwnAnswer) -> None:
         """Report a request that was refused before anything was decided on it."""
@@ -33,7 +35,7 @@
             "reason": answer.reason.value,
             "path": request.path,
         }
-        logger.info("request refused", extra={"fields": fields})
+        logger.info("request refused", extra={"fields": fields, "important": True})
 
     def answered(self, exchange: Exchange, answer: Answer | None, now: float) -> None:
         """Report the answer of an exchange; ``None`` stands for a caller that has left."""
@@ -41,7 +43,10 @@
         is_late = now > exchange.target_at + 0.002
         if answer is None:
             self._counters["answer.caller_left"] += 1
+            logger.info("caller left", extra={"fields": self._fields(exchange, elapsed_ms)})
             return
+        if not isinstance(answer, OwnAnswer):
+            self._recorder.record_latency(exchange.route.name, elapsed_ms / 1000)
         if isinstance(answer, OwnAnswer):
             self._counters[f"refusal.{answer.reason.value}"] += 1
             self._log("request failed", exchange, elapsed_ms, answer)
@@ -58,21 +63,29 @@
             self._counters["answer.whole"] += 1
 
     def _log(self, message: str, exchange: Exchange, elapsed_ms: float, answer: Answer) -> None:
+        fields = self._fields(exchange, elapsed_ms)
+        if isinstance(answer, OwnAnswer):
+            fields |= {"status": answer.status, "reason": answer.reason.value}
+        elif isinstance(answer, PassedAnswer):
+            fields["status"] = answer.reply.status
+        is_failure = not isinstance(answer, MergedAnswer)
+        logger.info(message, extra={"fields": fields, "important": is_failure})
+
+    @staticmethod
+    def _fields(exchange: Exchange, elapsed_ms: float) -> dict[str, object]:
+        """Return what decided the answer of *exchange*, as log fields."""
         open_tasks = [task for task in exchange.tasks if task.state is not TaskState.DONE]
-        fields: dict[str, object] = {
+        return {
             "request": exchange.request.request_id,
             "route": exchange.route.name,
             "version": exchange.config_version,
             "elapsed_ms": elapsed_ms,
+            "target_ms": round(exchange.route.target_s * 1000),
             "sends": exchange.attempts_count,
             "tasks": len(exchange.tasks),
+            "done": exchange.done_count,
             "missing": [
                 f"{task.service}: {task.failure} ({','.join(sorted(task.ran_on))})"
                 for task in open_tasks[:MAX_TASKS_LOGGED]
             ],
         }
-        if isinstance(answer, OwnAnswer):
-            fields |= {"status": answer.status, "reason": answer.reason.value}
-        elif isinstance(answer, PassedAnswer):
-            fields["status"] = answer.reply.status
-        logger.info(message, extra={"fields": fields})
--- a/marigoldwalk/metrics/recorder.py
+++ b/marigoldwalk/metrics/recorder.py
@@ -35,11 +35,15 @@
         """Record one answer."""
         if answer.execution is Execution.NOT_RUN:
             return
-        self._histogram(answer.group).record_value(_microseconds(answer.elapsed_s))
+        self.record_latency(answer.group, answer.elapsed_s)
         self.shards_wanted[answer.group] += answer.answered + len(answer.missing)
         self.shards_answered[answer.group] += answer.answered
         self.subrequests[answer.group] += answer.subrequests
 
+    def record_latency(self, group: str, elapsed_s: float) -> None:
+        """Record the latency of one answer of *group*, a group or a route."""
+        self._histogram(group).record_value(_microseconds(elapsed_s))
+
     def _histogram(self, group: str) -> HdrHistogram:
         histogram = self.latency_us.get(group)
         if histogram is None:
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from .exchanges import LossReason
@@ -11,6 +12,8 @@
     from .exchanges import Attempt, Lost, ServerReply
     from .world import RoutingWorld
 
+logger = logging.getLogger(__name__)
+
 _NEVER_ARRIVED = (LossReason.CONNECT_FAILED, LossReason.CONNECT_TIMEOUT)
 
 
@@ -34,6 +37,7 @@
     release(world, attempt)
     world.counters[f"lost.{lost.reason.value}"] += 1
     row = attempt.row
+    _log_loss(world, attempt, lost)
     if lost.reason in _NEVER_ARRIVED:
         row.note_unreachable(world.now)
     elif lost.reason is not LossReason.ABANDONED:
@@ -50,6 +54,23 @@
     retry(world, task, arrived=lost.reason not in _NEVER_ARRIVED)
 
 
+def _log_loss(world: RoutingWorld, attempt: Attempt, lost: Lost) -> None:
+    """Write a line about an attempt that its server did not answer."""
+    if lost.reason is LossReason.ABANDONED:
+        return
+    fields = {
+        "request": attempt.task.exchange.request.request_id,
+        "service": attempt.task.service,
+        "server": attempt.row.server_id,
+        "reason": lost.reason.value,
+        "detail": lost.detail,
+        "after_ms": round((world.now - attempt.sent_at) * 1000, 1),
+        "may_have_run": lost.may_have_run,
+        "recent_failures": round(attempt.row.recent_failures(world.now), 1),
+    }
+    logger.info("attempt lost", extra={"fields": fields})
+
+
 def _note_reply(world: RoutingWorld, attempt: Attempt, reply: ServerReply) -> None:
     row = attempt.row
     if reply.is_success:
--- /dev/null
+++ b/tests/gateway/test_admin.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import json
+
+from marigoldwalk.gateway.settings import GatewaySettings, parse_gateway_settings
+from marigoldwalk.util.gevent_http import GeventConnection
+
+from ..platform.standin import route_record
+from . import daemons
+from .daemons import ask, deployment, request
+
+
+def read(daemon, path):
+    address = daemon.gateway.admin_address
+    connection = GeventConnection(address.host, address.port, timeout=5.0)
+    connection.connect()
+    try:
+        return connection.exchange("GET", path, None, {})
+    finally:
+        connection.close()
+
+
+def test_metrics_count_answers_and_their_latency(monkeypatch):
+    monkeypatch.setattr(daemons, "SETTINGS", daemons.SETTINGS + "admin_address: 127.0.0.1:0\n")
+    with deployment([route_record(name="r-one")]) as (daemon, _):
+        ask(daemon, request(), request("/none/1"))
+        text = read(daemon, "/metrics").body.decode()
+        status = json.loads(read(daemon, "/status").body)
+        found = json.loads(read(daemon, "/explain/r-one").body)
+        missing = read(daemon, "/explain/none")
+    assert 'marigoldwalk_answer_total{reason="whole"} 1.0' in text
+    assert 'marigoldwalk_refusal_total{reason="no_route"} 1.0' in text
+    assert 'marigoldwalk_latency_seconds_count{group="r-one"} 1.0' in text
+    assert (status["name"], status["version"], status["servers"]) == ("g-1", 1, 1)
+    assert found["servers"][0]["server"] == "i-1"
+    assert missing.status == 404
+
+
+def test_settings_name_what_is_wrong_with_its_line():
+    rejected = parse_gateway_settings("name: g-1\ndomain: north\ngrace_s: -1\n")
+    lines = [str(problem) for problem in rejected.problems]
+    assert any("grace_s" in line for line in lines)
+    assert any("store_address" in line for line in lines)
+
+
+def test_settings_of_a_machine_with_a_part_of_each_core():
+    text = daemons.SETTINGS.format(store="127.0.0.1:9") + "cores: 2\ncpu_share: 0.5\n"
+    settings = parse_gateway_settings(text)
+    assert isinstance(settings, GatewaySettings)
+    assert settings.cores == 1.0
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -176,7 +176,8 @@
     with deployment([route_record("/all/", **WIDE)], servers) as (daemon, store):
         carrier = Daemon(store)
         carrier.wait_until_ready()
-        monkeypatch.setattr(Delegation, "choose", lambda *_: carrier_of(carrier))
+        chosen = carrier_of(carrier)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
         status, headers, body = ask(daemon, request("/all/1"))[0]
         assert (status, body) == (200, b"A" * 16)
         assert headers["x-marigoldwalk-part-stamps"] == "stamp-i-1"
@@ -193,7 +194,8 @@
         carrier = Daemon(store)
         carrier.wait_until_ready()
         carrier.gateway.world.catalog.config = None
-        monkeypatch.setattr(Delegation, "choose", lambda *_: carrier_of(carrier))
+        chosen = carrier_of(carrier)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
         assert ask(daemon, request("/all/1"))[0][0] == 200
         assert daemon.gateway.world.counters["carry.failed"] == 1
         carrier.kill()
--- a/tests/gateway/test_channel.py
+++ b/tests/gateway/test_channel.py
@@ -9,8 +9,6 @@
 from ..daemon.scripted import PATIENCE_S, scripted
 from .backend import decode, exchange, open_channel, response
 
-pytest_plugins = ("tests.daemon.conftest",)
-
 
 def outcome_of(*script):
     """Return the outcome of one request to a server with *script*, and the channel."""
