--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -141,7 +141,13 @@
 
 
 def _choose(world: RoutingWorld, task: Task, avoided: set[str]) -> ServerRow | NoServer:
-    rows = world.catalog.servers_of(task.service)
+    service = world.catalog.service(task.service)
+    share = world.share(task.service)
+    rows = [
+        row
+        for row in world.catalog.servers_of(task.service)
+        if world.cold.allows(row, service, share, world.now)
+    ]
     room = open_attempts_limit(world, task, rows[0].registration.slots) if rows else 1
     return choose_server(rows, world.domain, avoided, room, world.now)
 
@@ -189,6 +195,7 @@
     high_s = max(usual.high_s, LEAST_HEDGE_S)
     hedge_s = min(HEDGE_AFTER_HIGH * high_s, HEDGE_TARGET_SHARE * exchange.route.target_s)
     attempt = Attempt(world.next_attempt_number(), task, row, world.now, task.sends > 0)
+    world.cold.note(row, world.now)
     task.sends += 1
     task.state = TaskState.SENT
     task.open_attempts.append(attempt)
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -9,6 +9,7 @@
 
 from .budgets import BudgetLimits, RetryBudget
 from .catalog import Catalog
+from .cold import ColdAllowances
 from .latencies import LatencyTracker
 from .queueing import TaskQueue
 from .splits import SplitChooser
@@ -47,6 +48,7 @@
         """How late answers that were due have left of late."""
         self.catalog = Catalog()
         self.splits = SplitChooser()
+        self.cold = ColdAllowances(limits)
         self.counters: Counter[str] = Counter()
         self.actions: list[Action] = []
         self._budgets: dict[str, RetryBudget] = {}
