--- a/marigoldwalk/cli.py
+++ b/marigoldwalk/cli.py
@@ -76,10 +76,11 @@
     Parameters
     ----------
     file
-        The file to check. A file with servers, groups or a revision counts as a document.
+        The file to check. A file with servers, groups or a revision counts as a document, one
+        with the address of a store as the settings of a gateway.
     """
     text = read_text(file, Code.DOCUMENT_INVALID)
-    verdict = accept(text) if _is_document(text) else parse_settings(text)
+    verdict = _verdict(text)
     if not isinstance(verdict, Rejected):
         print(f"{file}: valid")
         return ExitStatus.OK
@@ -173,6 +174,25 @@
     _print_record(_read_admin(admin, "/status"), as_json)
 
 
+@app.command
+def trace(request: str, files: list[Path]) -> ExitStatus:
+    """Print the log lines of one request, from the logs of several daemons, in order of time.
+
+    Parameters
+    ----------
+    request
+        The request's id.
+    files
+        Logs of daemons; what stands before the JSON of a line is passed over.
+    """
+    from .util.log_lines import lines_of_request
+
+    found = lines_of_request(request, (read_text(f, Code.SETTINGS_UNREADABLE) for f in files))
+    for line in found:
+        print(line)
+    return ExitStatus.OK if found else ExitStatus.FAILED
+
+
 @app.command
 def codes() -> None:
     """List the result codes and the reasons for missing shards."""
@@ -182,13 +202,19 @@
     print(plain_table(["missing shard", "reason"], rows))
 
 
-def _is_document(text: str) -> bool:
+def _verdict(text: str) -> object:
+    """Return *text* as what it seems to be, or its problems."""
     from .config.yaml_text import parse_yaml
+    from .gateway.settings import parse_gateway_settings
 
     parsed = parse_yaml(text)
     if isinstance(parsed, Rejected) or not isinstance(parsed.value, dict):
-        return True
-    return not {"revision", "servers", "groups"}.isdisjoint(parsed.value)
+        return accept(text)
+    if not {"revision", "servers", "groups"}.isdisjoint(parsed.value):
+        return accept(text)
+    if "store_address" in parsed.value:
+        return parse_gateway_settings(text)
+    return parse_settings(text)
 
 
 def _json_object(text: str) -> dict[str, Any]:
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -101,7 +101,12 @@
             self._admin_listener = listen(settings.admin_address)
             self._admin_server = make_server(self._admin_listener, admin.app)
         self._gossip = GossipLink(
-            self._membership, settings.peer_address, now, counters, self._note_members
+            self._membership,
+            self.world.suspects,
+            settings.peer_address,
+            now,
+            counters,
+            self._note_members,
         )
         self._note_members()
         self._stop_requested = Event()
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import gevent
@@ -14,6 +15,7 @@
 
 from ..config.view import Address
 from ..routing.membership import MemberReport
+from ..routing.suspects import Evidence
 from ..wire.gen.gossip import ttypes
 
 if TYPE_CHECKING:
@@ -21,6 +23,7 @@
     from collections.abc import Callable, Sequence
 
     from ..routing.membership import Membership
+    from ..routing.suspects import Suspects
 
 logger = logging.getLogger(__name__)
 
@@ -40,12 +43,14 @@
     def __init__(
         self,
         membership: Membership,
+        suspects: Suspects,
         listen_at: Address,
         now: Callable[[], float],
         counters: Counter[str],
         on_change: Callable[[], None],
     ) -> None:
         self._membership = membership
+        self._suspects = suspects
         self._now = now
         self._counters = counters
         self._on_change = on_change
@@ -72,7 +77,7 @@
         for number in itertools.count():
             now = self._now()
             targets = self._membership.next_round(now)
-            datagram = encode_reports(self._membership.reports(now))
+            datagram = encode(self._membership.reports(now), self._suspects.evidence(now))
             for target in targets:
                 self._send(datagram, target)
             self._note_count()
@@ -95,11 +100,12 @@
                 self._counters["gossip.unreceived"] += 1
                 logger.debug("gossip was not received: %r", exc)
                 continue
-            reports = decode_reports(datagram)
-            if reports is None:
+            told = decode(datagram)
+            if told is None:
                 self._counters["gossip.malformed"] += 1
                 continue
-            self._membership.hear(reports, self._now())
+            self._membership.hear(told.reports, self._now())
+            self._suspects.hear(told.evidence, self._now())
             self._note_count()
 
     def _note_count(self) -> None:
@@ -112,8 +118,17 @@
             logger.info("members changed", extra={"fields": fields})
 
 
-def encode_reports(reports: Sequence[MemberReport]) -> bytes:
-    """Return a datagram with *reports*, the sender's own first."""
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What one datagram tells."""
+
+    reports: tuple[MemberReport, ...]
+    """Members, the sender first."""
+    evidence: tuple[Evidence, ...]
+
+
+def encode(reports: Sequence[MemberReport], evidence: Sequence[Evidence]) -> bytes:
+    """Return a datagram with *reports*, the sender's own first, and *evidence* of crashes."""
     members = [
         ttypes.Member(
             r.name,
@@ -127,18 +142,19 @@
         )
         for r in reports
     ]
+    crashes = [ttypes.Evidence(e.fingerprint, list(e.servers)) for e in evidence]
     buffer = TMemoryBuffer()
-    ttypes.Gossip(members, []).write(TBinaryProtocolAccelerated(buffer))
+    ttypes.Gossip(members, crashes).write(TBinaryProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
-def decode_reports(datagram: bytes) -> list[MemberReport] | None:
-    """Return the reports in *datagram*, or ``None`` if it is not valid."""
+def decode(datagram: bytes) -> Told | None:
+    """Return what *datagram* tells, or ``None`` if it is not valid."""
     gossip = ttypes.Gossip()
     try:
         gossip.read(TBinaryProtocolAccelerated(TMemoryBuffer(datagram)))
         gossip.validate()
-        return [
+        reports = [
             MemberReport(
                 m.name,
                 Address(m.host, m.port),
@@ -151,10 +167,14 @@
             for m in gossip.members
             if _is_complete(m)
         ]
+        evidence = [
+            Evidence(e.fingerprint, tuple(e.servers)) for e in gossip.evidence if _is_complete(e)
+        ]
     except Exception as exc:  # noqa: BLE001 (thrift raises many kinds on malformed bytes)
         logger.debug("a datagram is not valid: %r", exc)
         return None
+    return Told(tuple(reports), tuple(evidence))
 
 
-def _is_complete(member: ttypes.Member) -> bool:
-    return all(getattr(member, name) is not None for name in ttypes.Member.__slots__)
+def _is_complete(struct: ttypes.Member | ttypes.Evidence) -> bool:
+    return all(getattr(struct, name) is not None for name in struct.__slots__)
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -40,6 +40,11 @@
     _log_loss(world, attempt, lost)
     if lost.reason in _NEVER_ARRIVED:
         row.note_unreachable(world.now)
+        _note_crash(world, row.server_id)
+    elif lost.reason is LossReason.CLOSED and lost.may_have_run:
+        row.note_failure(world.now)
+        fingerprint = attempt.task.exchange.request.fingerprint
+        world.suspects.note_loss(fingerprint, row.server_id, world.now)
     elif lost.reason is not LossReason.ABANDONED:
         row.note_failure(world.now)
     task = attempt.task
@@ -54,6 +59,15 @@
     retry(world, task, arrived=lost.reason not in _NEVER_ARRIVED)
 
 
+def _note_crash(world: RoutingWorld, server_id: str) -> None:
+    """Take a refused connection as a proof of a crash, if work was lost there just before."""
+    if world.suspects.note_unreachable(server_id, world.now):
+        world.counters["suspect.crash"] += 1
+        logger.warning(
+            "a server crashed while it ran a request", extra={"fields": {"server": server_id}}
+        )
+
+
 def _log_loss(world: RoutingWorld, attempt: Attempt, lost: Lost) -> None:
     """Write a line about an attempt that its server did not answer."""
     if lost.reason is LossReason.ABANDONED:
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -9,6 +9,7 @@
 from .finishing import finish_if_due
 from .outcomes import take_loss, take_reply
 from .sending import hedge_if_due, resend_if_due, send_first, serve_queue
+from .suspects import REMEMBERED_S
 
 if TYPE_CHECKING:
     from .exchanges import Action, Attempt, CallerRequest, Lost, ServerReply
@@ -48,6 +49,8 @@
         route = catalog.find_route(request.host, request.path)
         if route is None:
             return OwnAnswer(404, RefusalReason.NO_ROUTE)
+        if self.world.suspects.is_refused(request.fingerprint, request.received_at):
+            return OwnAnswer(503, RefusalReason.SUSPECT_CONTENT, REMEMBERED_S)
         return self._exchange(request, route)
 
     def start(self, exchange: Exchange, now: float) -> list[Action]:
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -72,7 +72,9 @@
     """
     route = task.exchange.route
     task.state = TaskState.WAITING
-    if len(task.ran_on) >= route.max_attempts:
+    if world.suspects.is_refused(task.exchange.request.fingerprint, world.now):
+        task.fail("the request crashes servers")
+    elif len(task.ran_on) >= route.max_attempts:
         task.fail("attempts are used up")
     elif not arrived or _spend(world, task):
         world.counters["retry.sent"] += 1
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -13,6 +13,7 @@
 from .latencies import LatencyTracker
 from .queueing import TaskQueue
 from .splits import SplitChooser
+from .suspects import Suspects
 
 if TYPE_CHECKING:
     from .exchanges import Action
@@ -49,6 +50,7 @@
         self.catalog = Catalog()
         self.splits = SplitChooser()
         self.cold = ColdAllowances(limits)
+        self.suspects = Suspects()
         self.counters: Counter[str] = Counter()
         self.actions: list[Action] = []
         self._budgets: dict[str, RetryBudget] = {}
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -121,9 +121,11 @@
         services = {service for service, *_ in servers.values()}
         self.world.catalog.apply_config(routing_config(routes, services, cap=cap))
 
-    def ask(self, path="/one/1", request_id="q-1", wait_s=2.0):
+    def ask(self, path="/one/1", request_id="q-1", wait_s=2.0, fingerprint=""):
         self.asked_at[request_id] = self.now
-        request = CallerRequest(request_id, "GET", HOST, path, self.now, self.now + wait_s)
+        request = CallerRequest(
+            request_id, "GET", HOST, path, self.now, self.now + wait_s, fingerprint
+        )
         exchange = self.router.open(request)
         if not isinstance(exchange, Exchange):
             self.answers[request_id] = exchange
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 from .client.daemons import reply_fields, scripted_daemon
 from .config.documents_for_tests import document, group
 from .config.test_settings import settings_text
+from .gateway.daemons import SETTINGS
 
 
 def run(*arguments: object) -> int:
@@ -80,3 +81,24 @@
     assert run("codes") == 0
     printed = capsys.readouterr().out
     assert all(f"{code.value:<4}  {code.name}\n" in printed for code in Code)
+
+
+def test_trace_gathers_the_lines_of_a_request_in_order_of_time(tmp_path, capsys):
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text('1.2 m-1 {"time": "02", "request": "q-1", "message": "late"}\nnoise {\n')
+    second.write_text(
+        '{"time": "01", "request": "q-1", "message": "lost"}\n{"time": "03", "request": "q-2"}\n'
+    )
+    assert run("trace", "q-1", first, second) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [json.loads(line)["message"] for line in lines] == ["lost", "late"]
+    assert run("trace", "q-9", first) == 1
+
+
+def test_check_accepts_the_settings_of_a_gateway(tmp_path, capsys):
+    path = tmp_path / "gateway.yaml"
+    path.write_text(SETTINGS.format(store="10.0.0.1:9000"))
+    assert run("check", path) == 0
+    path.write_text(SETTINGS.format(store="nowhere"))
+    assert run("check", path) == 1
+    assert "store_address" in capsys.readouterr().out
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-from marigoldwalk.errors import Code, Missing, Refusal
+from marigoldwalk.errors import Code, Missing, Refusal, RefusalReason
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CODES.md"
 
@@ -20,5 +20,10 @@
     assert rows(r"^\| `(\w+)` \| ([^|]+) \|") == [(item.name, item.value) for item in Missing]
 
 
+def test_the_page_lists_every_reason_of_the_gateways_own_answers():
+    listed = [reason for _, reason in rows(r"^\| HTTP (\d+) \| `(\w+)` \|")]
+    assert sorted(listed) == sorted(reason.value for reason in RefusalReason)
+
+
 def test_a_refusal_is_falsy():
     assert not Refusal(Code.OVERLOADED, "queue full", 0.1)
