Never run a query again that its carrier may have run

Now the daemon waits 0.3 s past the target, then tells the caller 502, who may ask another daemon; only a carrier that has not begun is replaced.

--- a/bench/control/subject.py
+++ b/bench/control/subject.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from marigoldwalk.core.actions import SendPeer
-from marigoldwalk.core.engine import Core
+from marigoldwalk.core.composition import Core
 from marigoldwalk.core.events import PeerReceived
 from marigoldwalk.core.parameters import Parameters
 from marigoldwalk.core.world import Identity
--- a/marigoldwalk/application.py
+++ b/marigoldwalk/application.py
@@ -12,7 +12,7 @@
 
 from .config.acceptance import accept
 from .config.view import Address
-from .core.engine import Core
+from .core.composition import Core
 from .core.events import StopRequested
 from .core.world import Identity
 from .daemon.admin import Admin
--- a/marigoldwalk/core/engine.py
+++ b/marigoldwalk/core/engine.py
@@ -86,9 +86,6 @@
     def __init__(
         self, identity: Identity, parameters: Parameters, accept: Callable[[str], Verdict]
     ) -> None:
-        # Importing the systems fills the registries above.
-        from . import systems  # noqa: F401
-
         self.world = World(identity=identity, parameters=parameters, accept=accept)
         self._started = False
 
--- a/marigoldwalk/gateway/carrying.py
+++ b/marigoldwalk/gateway/carrying.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from gevent.event import AsyncResult
@@ -34,15 +35,17 @@
 """A carrier's answer if it takes no queries: it is stopping or knows no configuration."""
 HOP_S = 0.008
 """Time for the way to a carrier and back and for handing on both ways, on half a core."""
-PATIENCE_S = 0.02
-"""Time beyond the target after which a carrier without an answer counts as lost."""
+PATIENCE_S = 0.3
+"""Time beyond the target after which a carrier without an answer counts as lost. Answers below the
+least coverage come that late; a caller that is told then has time to ask another daemon."""
 
 
-class CallerLeft:
-    """Sentinel: nobody waits for the answer any more."""
+class Uncarried(Enum):
+    """Why there is no answer of a carrier."""
 
-
-CALLER_LEFT = CallerLeft()
+    CALLER_LEFT = "the caller left"
+    NOT_SENT = "no carrier has begun to run the query, so this daemon may"
+    LOST = "the carrier may have run the query, so it must not be sent to servers again"
 
 
 @dataclass(slots=True, eq=False)
@@ -69,26 +72,28 @@
         self._counters = counters
         self._carriers: dict[Address, _Carrier] = {}
 
-    def carry(
-        self, exchange: Exchange, head: bytes, sock: socket.socket
-    ) -> RawReply | CallerLeft | None:
-        """Return a carrier's answer, or ``None`` if this daemon has to carry the query itself."""
+    def carry(self, exchange: Exchange, head: bytes, sock: socket.socket) -> RawReply | Uncarried:
+        """Return a carrier's answer, or why there is none."""
         carrier = self._delegation.choose(self._now())
         if carrier is None:
-            return None
+            return Uncarried.NOT_SENT
         self._delegation.begin(carrier)
         answer = self._ask(carrier, exchange, head, sock)
-        failed = answer is None
+        failed = answer in (Uncarried.NOT_SENT, Uncarried.LOST)
         self._delegation.end(carrier, failed, self._now())
         self._counters["carry.failed" if failed else "carry.answered"] += 1
         if failed:
-            fields = {"request": exchange.request.request_id, "carrier": carrier.name}
+            fields = {
+                "request": exchange.request.request_id,
+                "carrier": carrier.name,
+                "outcome": answer.name.lower(),
+            }
             logger.info("a carrier did not answer", extra={"fields": fields})
         return answer
 
     def _ask(
         self, carrier: MemberReport, exchange: Exchange, head: bytes, sock: socket.socket
-    ) -> RawReply | CallerLeft | None:
+    ) -> RawReply | Uncarried:
         now = self._now()
         request = exchange.request
         elapsed_ms = (now - request.received_at + HOP_S) * 1000
@@ -96,15 +101,22 @@
         channel = self._links.take(row, request.request_id, proven=False)
         result: AsyncResult = AsyncResult()
         data = head + header_lines([(ELAPSED_HEADER, f"{elapsed_ms:.1f}")]) + b"\r\n"
-        with HangupWatch(sock, lambda: result.set(CALLER_LEFT)):
+        with HangupWatch(sock, lambda: result.set(Uncarried.CALLER_LEFT)):
             channel.request(data, result.set, lambda raw: raw)
             wait_s = exchange.route.target_s + PATIENCE_S - (now - request.received_at)
             outcome = result.wait(max(wait_s, PATIENCE_S))
         if not isinstance(outcome, RawReply):
             channel.close()
         self._links.give_back(row, channel)
-        if outcome is None or isinstance(outcome, Lost):
-            return None
-        if isinstance(outcome, RawReply) and outcome.status == REFUSED_STATUS:
-            return None
-        return outcome
+        return _meaning(outcome)
+
+
+def _meaning(outcome: RawReply | Lost | Uncarried | None) -> RawReply | Uncarried:
+    """Return what the end of a wait for a carrier means; ``None`` stands for no end in time."""
+    if outcome is None:
+        return Uncarried.LOST
+    if isinstance(outcome, Lost):
+        return Uncarried.LOST if outcome.may_have_run else Uncarried.NOT_SENT
+    if isinstance(outcome, RawReply) and outcome.status == REFUSED_STATUS:
+        return Uncarried.NOT_SENT
+    return outcome
--- a/marigoldwalk/gateway/front.py
+++ b/marigoldwalk/gateway/front.py
@@ -13,7 +13,7 @@
 from ..errors import RefusalReason
 from ..routing.exchanges import CallerRequest, MergedAnswer, OwnAnswer, PassedAnswer
 from ..util.hangup import HangupWatch
-from .carrying import CALLER_LEFT, ELAPSED_HEADER, ELAPSED_KEY, REFUSED_STATUS
+from .carrying import ELAPSED_HEADER, ELAPSED_KEY, REFUSED_STATUS, Uncarried
 from .dialect import RawReply
 from .performer import request_head
 
@@ -22,7 +22,7 @@
 
     from ..routing.exchanges import Answer, Exchange
     from ..routing.router import Router
-    from .carrying import CallerLeft, Carrying
+    from .carrying import Carrying
     from .dialect import Dialect
     from .performer import Call, Performer
     from .report import Reporter
@@ -74,9 +74,12 @@
             return self._respond(environ, start_response, exchange)
         if exchange.route.gather is not None:
             answer = self._carry(exchange, environ)
-            if answer is CALLER_LEFT:
+            if answer is Uncarried.CALLER_LEFT:
                 return self._leave(environ)
-            if answer is not None:
+            if answer is Uncarried.LOST:
+                answer = OwnAnswer(502, RefusalReason.SERVERS_FAILED)
+                self._reporter.answered(exchange, answer, self._now())
+            if answer is not Uncarried.NOT_SENT:
                 return self._respond(environ, start_response, answer)
         return self._run(exchange, request.body, environ, start_response)
 
@@ -108,7 +111,7 @@
             return self._leave(environ)
         return self._respond(environ, start_response, answer)
 
-    def _carry(self, exchange: Exchange, environ: dict[str, Any]) -> RawReply | CallerLeft | None:
+    def _carry(self, exchange: Exchange, environ: dict[str, Any]) -> RawReply | Uncarried:
         headers = environ[HANDLER_KEY].headers.items()
         sent = [*self._dialect.forwarded(headers), *self._dialect.deadline_headers(headers)]
         head = request_head(exchange.request.method, exchange.request.path, sent, b"")
--- a/tests/core/fleet.py
+++ b/tests/core/fleet.py
@@ -18,7 +18,7 @@
 
 from marigoldwalk.config.view import Address
 from marigoldwalk.core import actions, events
-from marigoldwalk.core.engine import Core
+from marigoldwalk.core.composition import Core
 from marigoldwalk.core.parameters import Parameters
 from marigoldwalk.core.world import Identity
 
--- a/tests/core/systems/test_claims.py
+++ b/tests/core/systems/test_claims.py
@@ -2,7 +2,7 @@
 
 from marigoldwalk.config.view import Address
 from marigoldwalk.core.actions import SendPeer
-from marigoldwalk.core.engine import Core
+from marigoldwalk.core.composition import Core
 from marigoldwalk.core.events import Instance, InstancesRead, PeerReceived
 from marigoldwalk.core.parameters import Parameters
 from marigoldwalk.core.peer_messages import (
--- a/tests/core/test_session.py
+++ b/tests/core/test_session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from marigoldwalk.core.engine import Core
+from marigoldwalk.core.composition import Core
 
 from .fleet import START
 from .session import DAEMON, GOLDEN, describe, play
--- a/tests/daemon/test_admin.py
+++ b/tests/daemon/test_admin.py
@@ -9,7 +9,7 @@
 
 from marigoldwalk.config.acceptance import accept
 from marigoldwalk.config.view import Address
-from marigoldwalk.core.engine import Core
+from marigoldwalk.core.composition import Core
 from marigoldwalk.core.events import DocumentRead, Instance, InstancesRead
 from marigoldwalk.core.parameters import Parameters
 from marigoldwalk.core.world import Identity
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -3,10 +3,11 @@
 import gevent
 import pytest
 
+from marigoldwalk.gateway import carrying
 from marigoldwalk.routing.delegation import Delegation
 from marigoldwalk.routing.membership import MemberReport
 
-from ..daemon.scripted import PATIENCE_S
+from ..daemon.scripted import PATIENCE_S, scripted
 from ..platform.standin import StandinServer, config_record, route_record
 from .daemons import Daemon, ask, deployment, read_response, request
 
@@ -199,3 +200,16 @@
         assert ask(daemon, request("/all/1"))[0][0] == 200
         assert daemon.gateway.world.counters["carry.failed"] == 1
         carrier.kill()
+
+
+def test_a_query_that_a_carrier_may_have_run_is_not_sent_again(monkeypatch):
+    monkeypatch.setattr(carrying, "PATIENCE_S", 0.05)
+    servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
+    route = route_record("/all/", **WIDE, **{"target-latency-ms": 100})
+    with deployment([route], servers) as (daemon, _):
+        for script in ((...,), (None,)):
+            with scripted(*script) as silent:
+                chosen = MemberReport("m-carrier", silent.address, 1, 1, "north", 1.0)
+                monkeypatch.setattr(Delegation, "choose", lambda *_, c=chosen: c)
+                assert ask(daemon, request("/all/1"))[0][0] == 502
+    assert servers["s-1"][0].requests == []
