--- a/marigoldwalk/gateway/carrying.py
+++ b/marigoldwalk/gateway/carrying.py
@@ -29,6 +29,11 @@
 
 ELAPSED_HEADER = "X-Gateway-Elapsed-Ms"
 """Tells a carrier how long ago the query arrived at the daemon that hands it on."""
+VERSION_HEADER = "X-Gateway-Version"
+"""Tells a carrier the configuration under which the query was taken. It is carried under the same
+one, so that a caller's daemon never seems to go back to an older version."""
+VERSION_KEY = f"HTTP_{VERSION_HEADER.upper().replace('-', '_')}"
+"""The same in a WSGI environment."""
 ELAPSED_KEY = f"HTTP_{ELAPSED_HEADER.upper().replace('-', '_')}"
 """The same in a WSGI environment."""
 REFUSED_STATUS = 421
@@ -100,7 +105,11 @@
         row = self._carriers.setdefault(carrier.address, _Carrier(carrier.address))
         channel = self._links.take(row, request.request_id, proven=False)
         result: AsyncResult = AsyncResult()
-        data = head + header_lines([(ELAPSED_HEADER, f"{elapsed_ms:.1f}")]) + b"\r\n"
+        headers = [
+            (ELAPSED_HEADER, f"{elapsed_ms:.1f}"),
+            (VERSION_HEADER, str(exchange.config_version)),
+        ]
+        data = head + header_lines(headers) + b"\r\n"
         with HangupWatch(sock, lambda: result.set(Uncarried.CALLER_LEFT)):
             channel.request(data, result.set, lambda raw: raw)
             wait_s = exchange.route.target_s + PATIENCE_S - (now - request.received_at)
--- a/marigoldwalk/gateway/front.py
+++ b/marigoldwalk/gateway/front.py
@@ -13,7 +13,14 @@
 from ..errors import RefusalReason
 from ..routing.exchanges import CallerRequest, MergedAnswer, OwnAnswer, PassedAnswer
 from ..util.hangup import HangupWatch
-from .carrying import ELAPSED_HEADER, ELAPSED_KEY, REFUSED_STATUS, Uncarried
+from .carrying import (
+    ELAPSED_HEADER,
+    ELAPSED_KEY,
+    REFUSED_STATUS,
+    VERSION_HEADER,
+    VERSION_KEY,
+    Uncarried,
+)
 from .dialect import RawReply
 from .performer import request_head
 
@@ -86,12 +93,14 @@
     def peers(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Carry a wide query for another daemon."""
         elapsed_ms = environ.get(ELAPSED_KEY, "")
-        if self._router.world.catalog.config is None or not _is_number(elapsed_ms):
+        version = environ.get(VERSION_KEY, "")
+        is_sound = _is_number(elapsed_ms) and version.isdecimal()
+        if not is_sound or not self._router.world.catalog.knows_version(int(version)):
             return self._respond(environ, start_response, _NOT_TAKEN)
         request = self._read(environ, self._now() - float(elapsed_ms) / 1000)
         if isinstance(request, OwnAnswer):
             return self._respond(environ, start_response, request)
-        exchange = self._router.open(request.facts)
+        exchange = self._router.open(request.facts, int(version))
         if isinstance(exchange, OwnAnswer):
             return self._respond(environ, start_response, _NOT_TAKEN)
         return self._run(exchange, request.body, environ, start_response)
@@ -121,7 +130,7 @@
         forwarded = [
             (name, value)
             for name, value in self._dialect.forwarded(environ[HANDLER_KEY].headers.items())
-            if name != ELAPSED_HEADER
+            if name not in (ELAPSED_HEADER, VERSION_HEADER)
         ]
         return request_head(exchange.request.method, exchange.request.path, forwarded, body)
 
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -13,6 +13,8 @@
     from .model import Registration, Route, RoutingConfig, Service
 
 
+KEPT_VERSIONS = 8
+"""Versions of the configuration that are kept for queries which others began under them."""
 MANY_CONNECTIONS = 1_000_000
 """Stands for no limit."""
 
@@ -35,7 +37,7 @@
         self.excluded_domains: frozenset[str] = frozenset()
         self.shards: frozenset[str] = frozenset()
         """The services that hold a shard of some route."""
-        self._routes = RouteIndex(())
+        self._routes: dict[int, RouteIndex] = {}
         self._by_service: dict[str, list[ServerRow]] = {}
 
     def apply_config(self, config: RoutingConfig) -> bool:
@@ -43,14 +45,23 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
-        self._routes = RouteIndex(config.routes)
+        self._routes[config.version] = RouteIndex(config.routes)
+        if len(self._routes) > KEPT_VERSIONS:
+            del self._routes[min(self._routes)]
         gathers = [route.gather for route in config.routes if route.gather is not None]
         self.shards = frozenset(shard for gather in gathers for shard in gather.shards)
         return True
 
-    def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route of a request under the configuration in force."""
-        return self._routes.find(host, path)
+    def knows_version(self, version: int) -> bool:
+        """Return whether *version* is in force or was a short while ago."""
+        return version in self._routes
+
+    def find_route(self, host: str, path: str, version: int | None = None) -> Route | None:
+        """Return the route of a request under *version*, by default the one in force."""
+        if version is None and self.config is not None:
+            version = self.config.version
+        index = self._routes.get(version)
+        return index.find(host, path) if index is not None else None
 
     def service(self, name: str) -> Service | None:
         """Return a service's description under the configuration in force."""
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -41,17 +41,21 @@
     def __init__(self, world: RoutingWorld) -> None:
         self.world = world
 
-    def open(self, request: CallerRequest) -> Exchange | OwnAnswer:
-        """Return an exchange for *request*, or the refusal that answers it at once."""
+    def open(self, request: CallerRequest, version: int | None = None) -> Exchange | OwnAnswer:
+        """Return an exchange for *request*, or the refusal that answers it at once.
+
+        *version* is the configuration under which another daemon took the request; by default it
+        is the one in force.
+        """
         catalog = self.world.catalog
         if catalog.config is None:
             return OwnAnswer(503, RefusalReason.NOT_READY, 1.0)
-        route = catalog.find_route(request.host, request.path)
+        route = catalog.find_route(request.host, request.path, version)
         if route is None:
             return OwnAnswer(404, RefusalReason.NO_ROUTE)
         if self.world.suspects.is_refused(request.fingerprint, request.received_at):
             return OwnAnswer(503, RefusalReason.SUSPECT_CONTENT, REMEMBERED_S)
-        return self._exchange(request, route)
+        return self._exchange(request, route, version or catalog.config.version)
 
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Send the tasks of a new exchange."""
@@ -130,14 +134,13 @@
             return exchange.target_at
         return due
 
-    def _exchange(self, request: CallerRequest, route: Route) -> Exchange:
+    def _exchange(self, request: CallerRequest, route: Route, version: int) -> Exchange:
         delay_s = self.world.limits.caller_delay_s
         lead_s = ANSWER_MARGIN_S + delay_s
         deadline_at = min(request.deadline_at, request.received_at + route.timeout_s)
         give_up_at = max(deadline_at - lead_s, request.received_at)
         lag_s = min(self.world.lag_s, LAG_SHARE * route.target_s)
         target_at = request.received_at + route.target_s - lead_s - delay_s - lag_s
-        version = self.world.catalog.config.version
         return Exchange(request, route, version, min(target_at, give_up_at), give_up_at)
 
     def _services(self, route: Route) -> tuple[str, ...]:
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 import gevent
 import pytest
 
 from marigoldwalk.gateway import carrying
 from marigoldwalk.routing.delegation import Delegation
 from marigoldwalk.routing.membership import MemberReport
+from marigoldwalk.routing.model import Gather
 
 from ..daemon.scripted import PATIENCE_S, scripted
 from ..platform.standin import StandinServer, config_record, route_record
@@ -190,11 +193,12 @@
         assert daemon.gateway.world.counters["carry.failed"] == 1
 
 
-def test_a_daemon_without_a_configuration_carries_nothing(monkeypatch):
+def test_a_daemon_behind_the_callers_version_carries_nothing(monkeypatch):
     with deployment([route_record("/all/", **WIDE)]) as (daemon, store):
         carrier = Daemon(store)
         carrier.wait_until_ready()
-        carrier.gateway.world.catalog.config = None
+        catalog = daemon.gateway.world.catalog
+        catalog.apply_config(replace(catalog.config, version=2))
         chosen = carrier_of(carrier)
         monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
         assert ask(daemon, request("/all/1"))[0][0] == 200
@@ -202,6 +206,22 @@
         carrier.kill()
 
 
+def test_a_query_is_carried_under_the_version_of_the_callers_daemon(monkeypatch):
+    servers = {"s-1": [StandinServer("i-1", b"A" * 16)], "s-2": [StandinServer("i-2", b"B" * 16)]}
+    with deployment([route_record("/all/", **WIDE)], servers) as (daemon, store):
+        carrier = Daemon(store)
+        carrier.wait_until_ready()
+        catalog = carrier.gateway.world.catalog
+        gather = Gather(("s-2",), 4, 0.5)
+        route = replace(catalog.config.routes[0], gather=gather)
+        catalog.apply_config(replace(catalog.config, version=2, routes=(route,)))
+        chosen = carrier_of(carrier)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
+        assert ask(daemon, request("/all/1"))[0][2] == b"A" * 16
+        assert daemon.gateway.world.counters["carry.answered"] == 1
+        carrier.kill()
+
+
 def test_a_query_that_a_carrier_may_have_run_is_not_sent_again(monkeypatch):
     monkeypatch.setattr(carrying, "PATIENCE_S", 0.05)
     servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
--- a/tests/routing/test_catalog.py
+++ b/tests/routing/test_catalog.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from marigoldwalk.routing.catalog import Catalog
+from marigoldwalk.routing.catalog import KEPT_VERSIONS, Catalog
 
 from .simulation import HOST, registration, routing_config, single_route
 
@@ -78,3 +78,14 @@
     catalog.mark_removed("a", 1.0)
     catalog.apply_registration(registration("a"), 2.0)
     assert catalog.drop_removed(before=9.0) == []
+
+
+def test_the_last_versions_are_kept_for_queries_that_began_under_them():
+    catalog = Catalog()
+    for version in range(1, KEPT_VERSIONS + 2):
+        route = single_route(name=f"r-{version}")
+        catalog.apply_config(routing_config([route], ["s-1"], version=version))
+    assert not catalog.knows_version(1)
+    assert catalog.find_route(HOST, "/one/1", version=2).name == "r-2"
+    assert catalog.find_route(HOST, "/one/1").name == f"r-{KEPT_VERSIONS + 1}"
+    assert catalog.find_route(HOST, "/one/1", version=99) is None
