--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -139,12 +139,21 @@
                 self.step()
             except StoreError as exc:
                 self.note_failure(exc)
-                gevent.sleep(self._backoff_s * random.uniform(0.7, 1.0))
-                self._backoff_s = min(self._backoff_s * 1.6, LAST_BACKOFF_S)
+                self._back_off()
+            except Exception:
+                # A daemon that stopped reading would follow an old configuration for good.
+                logger.exception("reading the store failed; everything is read again")
+                self._counters["store.fault"] += 1
+                self._is_read = False
+                self._back_off()
             else:
                 if self.revision != before:
                     gevent.sleep(COALESCE_S)
 
+    def _back_off(self) -> None:
+        gevent.sleep(self._backoff_s * random.uniform(0.7, 1.0))
+        self._backoff_s = min(self._backoff_s * 1.6, LAST_BACKOFF_S)
+
     def _take(self, told: Facts) -> None:
         for fact in told.facts:
             self._take_fact(fact)
--- a/marigoldwalk/platform/store.py
+++ b/marigoldwalk/platform/store.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import logging
 from base64 import b64decode
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -18,6 +19,8 @@
     from ..config.view import Address
     from .mirror import Mirror
 
+logger = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S = 0.8
 """Time for an answer; the store's own time is 4 ms, and a slow one's a hundred times that."""
 _GONE = 410
@@ -74,8 +77,9 @@
         while True:
             page = self._get("/-/kv-range", query, CALL_TIMEOUT_S)
             first_revision = first_revision or int(page["current-rev"])
-            items += page["items"]
-            if not page.get("has-more") or not page["items"]:
+            found = page.get("items", [])
+            items += found
+            if not page.get("has-more") or not found:
                 return items, first_revision
             query["after"] = items[-1]["key"]
 
@@ -90,10 +94,7 @@
             raise HistoryLostError(path)
         if reply.status != http.client.OK:
             raise StoreError(f"{path}: status {reply.status}")
-        try:
-            return json.loads(reply.body)
-        except ValueError as exc:
-            raise StoreError(f"{path}: the answer is not JSON") from exc
+        return _checked(path, reply.body)
 
     def _connect(self, timeout_s: float) -> GeventConnection:
         if self._connection is None:
@@ -105,6 +106,21 @@
         return self._connection
 
 
+def _checked(path: str, body: bytes) -> dict[str, Any]:
+    """Return the answer in *body*; raises ``StoreError`` if it does not have the right form."""
+    try:
+        answer = json.loads(body)
+        entries = answer.get("items", answer.get("events", []))
+        is_sound = isinstance(answer["current-rev"], int) and all(
+            isinstance(entry["key"], str) for entry in entries
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        raise StoreError(f"{path}: the answer cannot be read ({exc!r})") from exc
+    if not is_sound:
+        raise StoreError(f"{path}: the answer does not have the right form")
+    return answer
+
+
 def _decode_all(items: Iterable[dict[str, Any]]) -> tuple[Fact, ...]:
     """Return what items or events say; keys that are none of ours say nothing."""
     return tuple(fact for item in items if (fact := _decode(item)))
@@ -112,5 +128,12 @@
 
 def _decode(item: dict[str, Any]) -> Fact | None:
     """Return what an item or event says, or ``None`` if its key is none of ours."""
-    value = None if item.get("tombstone") else b64decode(item.get("value", ""))
+    if item.get("tombstone"):
+        return decode_item(item["key"], None)
+    try:
+        value = b64decode(item.get("value", ""))
+    except (ValueError, TypeError) as exc:
+        fields = {"key": item["key"], "why": repr(exc)}
+        logger.warning("a value of the store cannot be decoded", extra={"fields": fields})
+        value = b""
     return decode_item(item["key"], value)
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -2,9 +2,11 @@
 
 from collections import Counter
 
+import gevent
 import pytest
 
 from marigoldwalk.config.view import Address
+from marigoldwalk.gateway import feed as feed_module
 from marigoldwalk.gateway.facts import (
     ConfigFact,
     DomainFact,
@@ -221,3 +223,15 @@
     clock.now += FRESH_S + 0.1
     feed.step()
     assert not feed.is_fresh()
+
+
+def test_a_fault_while_reading_does_not_end_the_reading(clock, monkeypatch):
+    monkeypatch.setattr(feed_module, "FIRST_BACKOFF_S", 0.001)
+    feed, catalog = make_feed(clock, ValueError("a fault"), Facts(servers("a"), 5))
+    feed._backoff_s = 0.001
+    feed.start()
+    with gevent.Timeout(5.0):
+        while not catalog.rows:
+            gevent.sleep(0.001)
+    feed.stop()
+    assert feed._counters["store.fault"] == 1
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -13,6 +13,16 @@
 
 from marigoldwalk.config.view import Address
 
+GARBLED = {
+    "cut": "{",
+    "list": "[]",
+    "no revision": '{"items": [], "events": []}',
+    "text revision": '{"items": [], "events": [], "current-rev": "9"}',
+    "no key": '{"items": [{"value": ""}], "current-rev": 9}',
+    "null items": '{"items": null, "current-rev": 9}',
+}
+"""Answers that do not have the right form, by the name of the failure."""
+
 
 class StandinStore:
     """Keys with revisions, read in pages and watched."""
@@ -24,7 +34,7 @@
         self.kept_from = 0
         self.calls = []
         self.failure = None
-        """``busy``, ``silent`` or ``garbled``; ``None`` while the store is well."""
+        """``busy``, ``silent`` or a key of ``GARBLED``; ``None`` while the store is well."""
         self._page_size = page_size
         self._changed = Event()
         app = bottle.Bottle()
@@ -61,8 +71,8 @@
     def _fail(self):
         if self.failure == "busy":
             return bottle.HTTPResponse("", 503)
-        if self.failure == "garbled":
-            return bottle.HTTPResponse("{", 200)
+        if self.failure in GARBLED:
+            return bottle.HTTPResponse(GARBLED[self.failure], 200)
         if self.failure == "silent":
             gevent.sleep(3600)
         return None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,7 @@
 from marigoldwalk.platform.mirror import Mirror
 from marigoldwalk.platform.store import StoreClient
 
-from .standin import StandinServer, StandinStore, config_record, stopping
+from .standin import GARBLED, StandinServer, StandinStore, config_record, stopping
 
 
 @pytest.fixture
@@ -75,7 +75,7 @@
         client.watch(after, 0.01)
 
 
-@pytest.mark.parametrize("failure", ["busy", "garbled", "silent"])
+@pytest.mark.parametrize("failure", ["busy", "silent", *GARBLED])
 def test_a_store_that_fails_is_an_error_and_recovers(standin, client, failure, monkeypatch):
     monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.05)
     standin.failure = failure
@@ -91,3 +91,8 @@
     standin.stop()
     with pytest.raises(StoreError):
         StoreClient(address, Mirror(lambda: True)).read()
+
+
+def test_a_value_that_is_not_base64_names_no_server(standin, client):
+    standin.items["servers/i-1"] = {"key": "servers/i-1", "value": "é", "revision": 11}
+    assert client.read().facts == (ServerGone("i-1", is_unreadable=True),)
