Judge a server's latency by the median of its last answers

Cause: a moving average took a pause, which delays two answers, for slowness and sent work to other failure domains for seconds.

--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -9,12 +10,11 @@
     from ..config.view import Address
     from .model import Registration
 
-LATENCY_WEIGHT = 0.2
-"""Weight of the newest sample in a server's relative latency; a moving average over about five."""
+LATENCY_SAMPLES = 5
+"""Answers whose median counts as a server's latency. A pause delays the two or so that are open at
+its time and must not move work to another failure domain; a slow server delays all of them."""
 LATENCY_HALF_LIFE_S = 3.0
 """Time in which half of what set a server apart is forgotten, so that a slow one is tried again."""
-MOST_RATIO = 20.0
-"""The most that one answer counts, so that a single pause does not brand a server for long."""
 FAILURE_HALF_LIFE_S = 2.0
 """Time in which half of a server's failures are forgotten."""
 UNREACHABLE_FIRST_S = 0.25
@@ -38,8 +38,10 @@
     open_attempts: dict[int, float] = field(default_factory=dict)
     """The time by which each unanswered attempt should have been answered, oldest first."""
     idle_connections: int = 0
+    latency_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=LATENCY_SAMPLES))
+    """Latest latencies over what is usual for their routes."""
     latency_ratio: float = 1.0
-    """Moving average of latency over what is usual for the route, as of ``latency_at``."""
+    """Their median, as of ``latency_at``."""
     latency_at: float = 0.0
     failures: float = 0.0
     """Recent failures, forgotten with a half-life."""
@@ -70,8 +72,10 @@
 
     def note_latency(self, ratio: float, now: float) -> None:
         """Take an answer's latency, relative to what is usual for its route, into account."""
-        believed = self.relative_latency(now)
-        self.latency_ratio = believed + LATENCY_WEIGHT * (min(ratio, MOST_RATIO) - believed)
+        ratios = self.latency_ratios
+        ratios.append(ratio)
+        if len(ratios) == LATENCY_SAMPLES:
+            self.latency_ratio = sorted(ratios)[LATENCY_SAMPLES // 2]
         self.latency_at = now
         self.unreachable_count = 0
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -59,3 +59,15 @@
     assert chosen(row("a"), tried={"a"}) is ALL_TRIED
     assert chosen(busy) is ALL_BUSY
     assert chosen(busy, row("b"), tried={"b"}) is ALL_BUSY
+
+
+@pytest.mark.parametrize(
+    ("ratios", "expected"),
+    [([7.0, 7.0], "near"), ([7.0] * 3, "far"), ([7.0] * 3 + [1.0] * 3, "near")],
+    ids=["paused", "slow", "well again"],
+)
+def test_a_pause_moves_no_work_to_another_domain_and_slowness_does(ratios, expected):
+    near = row("near")
+    for ratio in [1.0, 1.1, 0.9, 1.0, 1.0, *ratios]:
+        near.note_latency(ratio, NOW)
+    assert chosen(near, row("far", domain="south")) == expected
