--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -86,20 +86,23 @@
         """
         address = self._readers.source(self._now()) if self._is_read else None
         if address is None:
-            self._step_at(self._store, is_direct=True)
+            self._step_at(self._store)
             return
         copy = self._copies.get(address)
         if copy is None:
             copy = self._copies[address] = self._store.at(address)
         try:
-            self._step_at(copy, is_direct=False)
+            self._watch(copy)
+        except HistoryLostError:
+            # The copy was made later than what is known here; one call to the store closes the gap.
+            self._step_at(self._store)
         except StoreError as exc:
             self._counters["store.reader_failed"] += 1
             self._readers.note_failure(address, self._now())
             fields = {"reader": str(address), "why": str(exc)}
             logger.info("a reader of the store does not answer", extra={"fields": fields})
 
-    def _step_at(self, store: Store, is_direct: bool) -> None:
+    def _step_at(self, store: Store) -> None:
         try:
             if self._is_read:
                 self._watch(store)
@@ -109,8 +112,7 @@
             self._counters["store.history_lost"] += 1
             logger.info("the history is gone; reading everything again")
             self._read(store)
-        if is_direct:
-            self._note_answer()
+        self._note_answer()
 
     def _read(self, store: Store) -> None:
         told = store.read()
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -28,7 +28,7 @@
 logger = logging.getLogger(__name__)
 
 PERIOD_S = 1.0
-"""Time between two rounds; a member is suspected after three and a half."""
+"""Time between two rounds; a member is suspected after five."""
 FIRST_PERIOD_S = 0.25
 """Time between the first rounds of a daemon's life, and while it knows no other daemon."""
 FIRST_ROUNDS = 20
@@ -77,9 +77,10 @@
         for number in itertools.count():
             now = self._now()
             targets = self._membership.next_round(now)
-            datagram = encode(self._membership.reports(now), self._suspects.evidence(now))
             for target in targets:
-                self._send(datagram, target)
+                is_far = self._membership.is_far(target)
+                reports = self._membership.reports(now, is_far)
+                self._send(encode(reports, self._suspects.evidence(now)), target)
             self._note_count()
             is_settled = number >= FIRST_ROUNDS and self._membership.rows()
             gevent.sleep(PERIOD_S if is_settled else FIRST_PERIOD_S)
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -25,7 +25,7 @@
 STRONG_SHARE = 0.5
 """Part of the strongest member's processor time from which a member counts as strong."""
 PASS_OVER_S = 1.0
-"""Time for which a carrier that failed is left alone; gossip suspects it after 3.5 s."""
+"""Time for which a carrier that failed is left alone; gossip suspects it after 5 s."""
 
 
 @dataclass(slots=True)
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -20,18 +20,20 @@
 
     from ..config.view import Address
 
-SUSPECT_AFTER_S = 3.5
-"""Silence after which a member is suspected: three periods of gossip and a lost datagram."""
+SUSPECT_AFTER_S = 5.0
+"""Silence after which a member is suspected: twice what news takes through 75 members."""
 DEAD_AFTER_S = 8.0
 """Silence after which a member counts as gone, twice the stability time of the platform."""
 FORGET_AFTER_S = 25.0
 """Silence after which a member is forgotten: longer than a machine is cut off or frozen."""
 FANOUT = 2
 """Members that each round of gossip is told to."""
-REMOTE_EVERY = 3
+REMOTE_EVERY = 4
 """Rounds of which one goes to another failure domain, where bytes are priced."""
-MAX_MEMBERS_TOLD = 16
-"""Members in one datagram, so that it fits into one packet."""
+MAX_MEMBERS_TOLD = 40
+"""Members in one datagram within a failure domain, some five kilobytes."""
+MAX_MEMBERS_TOLD_FAR = 12
+"""Members in one datagram to another failure domain, which fit into one packet."""
 UNKNOWN_MEMBERS = 8
 """Members assumed before any other daemon was heard of."""
 
@@ -121,11 +123,19 @@
         self._forget(now)
         return self._targets(now)
 
-    def reports(self, now: float) -> list[MemberReport]:
+    def reports(self, now: float, is_far: bool = False) -> list[MemberReport]:
         """Return what to tell: this daemon first, then members that live, others each round."""
         key = f"{self.own.name}:{self._round}"
         live = sorted(self.alive(now), key=lambda row: stable_hash(key, row.report.name))
-        return [self.own, *(row.report for row in live[: MAX_MEMBERS_TOLD - 1])]
+        count = MAX_MEMBERS_TOLD_FAR if is_far else MAX_MEMBERS_TOLD
+        return [self.own, *(row.report for row in live[: count - 1])]
+
+    def is_far(self, address: Address) -> bool:
+        """Return whether *address* is not known to be in the own failure domain."""
+        return all(
+            row.report.address != address or row.report.domain != self.own.domain
+            for row in self._rows.values()
+        )
 
     def leave(self) -> None:
         """Tell from now on that this daemon is stopping."""
--- a/marigoldwalk/routing/readers.py
+++ b/marigoldwalk/routing/readers.py
@@ -17,7 +17,7 @@
 READERS = 3
 """Daemons that read the store: one in each failure domain, and at least as many as this."""
 LEFT_ALONE_S = 3.0
-"""Time for which a reader that failed is not asked again; gossip suspects it after 3.5 s."""
+"""Time for which a reader that failed is not asked again; gossip suspects it after 5 s."""
 
 
 class Readers:
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -235,3 +235,16 @@
             gevent.sleep(0.001)
     feed.stop()
     assert feed._counters["store.fault"] == 1
+
+
+def test_a_copy_made_later_is_followed_after_one_watch_of_the_store(clock):
+    readers = OneReader()
+    told = [Facts(servers("a"), 5), Facts(servers("b"), 8)]
+    feed, catalog = make_feed(clock, *told, readers=readers)
+    copy = ScriptedStore(GONE, Facts(servers("c"), 9))
+    feed._store.copies = {readers.address: copy}
+    for _ in range(3):
+        feed.step()
+    assert ids(catalog) == ["a", "b", "c"]
+    assert copy.watched == [5, 8]
+    assert readers.failures == []
