--- a/marigoldwalk/gateway/front.py
+++ b/marigoldwalk/gateway/front.py
@@ -72,6 +72,7 @@
         received_at = self._now()
         request = self._read(environ, received_at)
         if isinstance(request, OwnAnswer):
+            self._reporter.unreadable(environ[HANDLER_KEY].path, request)
             # What is left of the request cannot be told from the next one.
             environ[HANDLER_KEY].close_connection = True
             return self._respond(environ, start_response, request)
@@ -79,7 +80,7 @@
         if isinstance(exchange, OwnAnswer):
             self._reporter.refused(request.facts, exchange)
             return self._respond(environ, start_response, exchange)
-        if exchange.route.gather is not None:
+        if exchange.route.gather is not None and not request.body:
             answer = self._carry(exchange, environ)
             if answer is Uncarried.CALLER_LEFT:
                 return self._leave(environ)
--- a/marigoldwalk/gateway/report.py
+++ b/marigoldwalk/gateway/report.py
@@ -37,6 +37,12 @@
         }
         logger.info("request refused", extra={"fields": fields, "important": True})
 
+    def unreadable(self, path: str, answer: OwnAnswer) -> None:
+        """Report a request that could not be read whole."""
+        self._counters[f"refusal.{answer.reason.value}"] += 1
+        fields = {"path": path, "status": answer.status, "reason": answer.reason.value}
+        logger.info("request unreadable", extra={"fields": fields, "important": True})
+
     def answered(self, exchange: Exchange, answer: Answer | None, now: float) -> None:
         """Report the answer of an exchange; ``None`` stands for a caller that has left."""
         elapsed_ms = round((now - exchange.request.received_at) * 1000, 1)
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -110,6 +110,7 @@
         sock.sendall(data + request("/one/smuggled"))
         assert read_response(stream)[0] == expected
         assert read_response(stream) is None
+        assert sum(n for k, n in daemon.gateway.world.counters.items() if k[:8] == "refusal.") == 1
     assert servers["s-1"][0].requests == []
 
 
@@ -233,3 +234,13 @@
                 monkeypatch.setattr(Delegation, "choose", lambda *_, c=chosen: c)
                 assert ask(daemon, request("/all/1"))[0][0] == 502
     assert servers["s-1"][0].requests == []
+
+
+def test_a_wide_query_with_a_body_is_not_handed_on(monkeypatch, closed_address):
+    servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
+    with deployment([route_record("/all/", **WIDE)], servers) as (daemon, _):
+        chosen = MemberReport("m-carrier", closed_address, 1, 1, "north", 1.0)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
+        assert ask(daemon, request("/all/1", "POST", body=b"words"))[0][0] == 200
+        assert daemon.gateway.world.counters["carry.failed"] == 0
+    assert servers["s-1"][0].requests == [("POST", "/all/1", b"words")]
