Send whole chunks in the test of unreadable requests; note what happens without them

The test as committed before failed: the WSGI server reads the rest of a body before it answers, and three bytes are no chunk. The check of the counters is the same.

--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -247,8 +247,9 @@
 
 def test_requests_that_cannot_be_read_are_counted_by_reason():
     with deployment() as (daemon, _):
+        chunks = b"3\r\nabc\r\n0\r\n\r\n"
         for data in (
-            request(method="POST", body=b"abc", headers=["Transfer-Encoding: chunked"]),
+            request(method="POST", body=chunks, headers=["Transfer-Encoding: chunked"]),
             request(method="POST", body=b"x" * 1001),
             request(headers=[f"X-Large: {'x' * 5000}"]),
         ):
