--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -128,6 +128,7 @@
     def note_failure(self, exc: StoreError) -> None:
         """Note that the store did not answer."""
         self._failed_at = self._now()
+        self._readers.note_store_failure(self._failed_at)
         self._counters["store.failure"] += 1
         if not self._is_lost:
             self._is_lost = True
@@ -141,7 +142,8 @@
                 self.step()
             except StoreError as exc:
                 self.note_failure(exc)
-                self._back_off()
+                if self._readers.source(self._now()) is None:
+                    self._back_off()
             except Exception:
                 # A daemon that stopped reading would follow an old configuration for good.
                 logger.exception("reading the store failed; everything is read again")
--- a/marigoldwalk/routing/readers.py
+++ b/marigoldwalk/routing/readers.py
@@ -26,19 +26,32 @@
     def __init__(self, membership: Membership) -> None:
         self._membership = membership
         self._failed_until: dict[Address, float] = {}
+        self._store_failed_until = 0.0
 
     def source(self, now: float) -> Address | None:
-        """Return the daemon to ask, or ``None`` for the store itself."""
+        """Return the daemon to ask, or ``None`` for the store itself.
+
+        A reader that the store has just turned away asks the other readers, as the store may serve
+        these.
+        """
         own = self._membership.own
         readers = self._readers(now)
-        if own in readers:
+        if own in readers and self._store_failed_until <= now:
             return None
-        usable = [r for r in readers if self._failed_until.get(r.address, 0.0) <= now]
+        usable = [
+            reader
+            for reader in readers
+            if reader != own and self._failed_until.get(reader.address, 0.0) <= now
+        ]
         # The own failure domain goes first, since bytes between domains are priced; after that
         # each daemon has an order of its own, so that they spread over the readers.
         usable.sort(key=lambda r: (r.domain != own.domain, stable_hash(own.name, r.name)))
         return usable[0].address if usable else None
 
+    def note_store_failure(self, now: float) -> None:
+        """Leave the store alone for a while if another reader can be asked."""
+        self._store_failed_until = now + LEFT_ALONE_S
+
     def note_failure(self, source: Address, now: float) -> None:
         """Leave a reader that did not answer alone for a while."""
         self._failed_until[source] = now + LEFT_ALONE_S
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -55,6 +55,9 @@
     def source(self, now):
         return None
 
+    def note_store_failure(self, now):
+        pass
+
 
 class Clock:
     now = 100.0
@@ -189,6 +192,9 @@
     def note_failure(self, source, now):
         self.failures.append(source)
 
+    def note_store_failure(self, now):
+        pass
+
 
 def test_the_first_read_is_from_the_store_and_later_ones_from_a_reader(clock):
     readers = OneReader()
--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -116,3 +116,16 @@
         readers.note_failure(source, NOW)
     assert len(set(seen)) == READERS
     assert readers.source(NOW + LEFT_ALONE_S) == seen[0]
+
+
+def test_a_reader_that_the_store_turns_away_asks_the_others():
+    reports = fleet(6, domains=("north", "south", "west"))
+    by_daemon = {own.name: Readers(membership_of(own, reports)) for own in reports}
+    readers = next(r for r in by_daemon.values() if r.source(NOW) is None)
+    readers.note_store_failure(NOW)
+    seen = set()
+    while (source := readers.source(NOW)) is not None:
+        seen.add(source)
+        readers.note_failure(source, NOW)
+    assert len(seen) == READERS - 1
+    assert readers.source(NOW + LEFT_ALONE_S) is None
