Break off attempts at the caller's deadline, so that a silent server is not held for good

Cause: an attempt at a server that hangs or falls silent never ended once its request was answered; it kept a connection, made the server count as stalled and took up the daemon's room there after the server was well again. Found by reading, seen in two tests that failed first.

--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..errors import RefusalReason
-from .exchanges import Abandon, Exchange, Finish, OwnAnswer, Task
+from .exchanges import Abandon, Exchange, OwnAnswer, Task
 from .finishing import finish_if_due
 from .outcomes import take_loss, take_reply
 from .sending import hedge_if_due, resend_if_due, send_first, serve_queue
@@ -23,8 +23,8 @@
 LAG_SHARE = 0.15
 """The most of a target that is given up for answers that leave late."""
 ABANDON_AFTER_S = 0.3
-"""Time after a caller has left at which its attempts still open are broken off; most end sooner,
-and a connection that is closed has to be opened again."""
+"""Time after a caller has left, or its deadline, at which attempts still open are broken off; most
+end sooner, and a connection that is closed has to be opened again."""
 
 
 class Router:
@@ -83,9 +83,9 @@
         """Do what is due for *exchange* at *now*."""
         world = self.world
         world.now = now
-        if exchange.caller_left_at is not None:
+        if exchange.is_answered:
             self._abandon_if_due(exchange)
-        elif not exchange.is_answered:
+        else:
             self._note_lag(exchange)
             self._run_due(exchange)
             finish_if_due(world, exchange)
@@ -124,11 +124,9 @@
 
     def next_wake(self, exchange: Exchange) -> float | None:
         """Return when :meth:`wake` is due next for *exchange*."""
-        if exchange.caller_left_at is not None:
-            has_open = any(task.open_attempts for task in exchange.tasks)
-            return exchange.caller_left_at + ABANDON_AFTER_S if has_open else None
         if exchange.is_answered:
-            return None
+            has_open = any(task.open_attempts for task in exchange.tasks)
+            return _abandon_at(exchange) if has_open else None
         due = min(exchange.give_up_at, exchange.due_at)
         if self.world.now < exchange.target_at < due:
             return exchange.target_at
@@ -157,12 +155,23 @@
         return self.world.take_actions()
 
     def _abandon_if_due(self, exchange: Exchange) -> None:
-        if self.world.now < exchange.caller_left_at + ABANDON_AFTER_S:
+        """Break off attempts that nobody needs any more and that have not ended by themselves.
+
+        Load pattern: servers that hang or fall silent. Their attempts would never end, and would
+        take up the room that this daemon has at the server after it is well again.
+        """
+        if self.world.now < _abandon_at(exchange):
             return
         for task in exchange.tasks:
-            self.world.actions += [Abandon(attempt) for attempt in task.open_attempts]
-
-
-def finished(actions: list[Action]) -> list[Finish]:
-    """Return the answers among *actions*."""
-    return [action for action in actions if isinstance(action, Finish)]
+            for attempt in task.open_attempts:
+                if exchange.caller_left_at is None:
+                    attempt.row.note_failure(self.world.now)
+                self.world.actions.append(Abandon(attempt))
+
+
+def _abandon_at(exchange: Exchange) -> float:
+    """Return when what is still open of an answered exchange is broken off."""
+    needless_at = exchange.give_up_at
+    if exchange.caller_left_at is not None:
+        needless_at = min(needless_at, exchange.caller_left_at)
+    return needless_at + ABANDON_AFTER_S
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -208,3 +208,25 @@
     assert later.target_at - later.request.received_at == pytest.approx(
         exchange.target_at - exchange.request.received_at - 0.02
     )
+
+
+def test_a_server_that_never_answers_is_not_held_for_good():
+    simulation = pair([(9.9, SILENT)], [FAST], timeout_s=0.5)
+    for number in range(8):
+        simulation.ask(request_id=f"q-{number}")
+        simulation.run(1.0)
+    row = simulation.world.catalog.rows["a"]
+    assert row.open_attempts == {}
+    assert row.recent_failures(simulation.now) > 0
+    # It is tried again once its failure is half forgotten.
+    assert simulation.scripts["a"].sends[-1] > 105.0
+
+
+def test_work_that_outlasts_an_answer_is_broken_off_at_the_callers_deadline():
+    simulation = shards_simulation(troubled=SHARDS[:1])
+    simulation.ask("/all/1", wait_s=1.0)
+    simulation.run(0.9)
+    assert simulation.answers["q-1"].missing_count == 1
+    assert simulation.abandoned == []
+    simulation.run(0.6)
+    assert len(simulation.abandoned) == 2
