Let strong daemons read the store for the others

Ruled out: machines that the store turns away (the one that was behind could reach it). Sites whose machines are equal choose the same readers as before. The test failed before the change.

--- a/marigoldwalk/routing/readers.py
+++ b/marigoldwalk/routing/readers.py
@@ -1,7 +1,9 @@
 """Which daemons read the platform's store themselves.
 
 Load pattern: each change in the store ends every waiting watch, so the calls grow with changes
-times daemons, and each is priced. A few daemons read the store; the others ask one of these.
+times daemons, and each is priced. A few daemons read the store; the others ask one of these. These
+are strong ones: a reader sends every change to all its followers, and a small machine's link would
+hold them up for seconds when an index is cut anew.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.hashing import stable_hash
+from .delegation import STRONG_SHARE
 
 if TYPE_CHECKING:
     from ..config.view import Address
@@ -60,7 +63,11 @@
         own = self._membership.own
         live = [own, *(row.report for row in self._membership.alive(now))]
         staying = [report for report in live if not report.is_leaving]
-        ordered = sorted(staying, key=lambda report: stable_hash("reader", report.name))
+        most = max(report.cores for report in staying) if staying else 0.0
+        ordered = sorted(
+            staying,
+            key=lambda r: (r.cores < STRONG_SHARE * most, stable_hash("reader", r.name)),
+        )
         first_of_domain = {report.domain: report for report in reversed(ordered)}
         readers = list(first_of_domain.values())
         others = [report for report in ordered if report not in readers]
--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -129,3 +129,10 @@
         readers.note_failure(source, NOW)
     assert len(seen) == READERS - 1
     assert readers.source(NOW + LEFT_ALONE_S) is None
+
+
+def test_strong_daemons_read_for_the_others():
+    reports = fleet(30, strong=(3, 4, 5), domains=("north", "south", "west"))
+    for own in reports:
+        source = Readers(membership_of(own, reports)).source(NOW)
+        assert (source is None) == (own.name in ("m-3", "m-4", "m-5"))
