Pass over single late timers; tell why a shard was not sent a second time

Now the second highest of the last 16 counts. Why no hedge went out is counted by reason and named in the line of the answer. Dead fields and settings are removed (Attempt.is_repeat, ServerReply.is_leaving, drain_ms, stability_ms).

--- a/marigoldwalk/gateway/report.py
+++ b/marigoldwalk/gateway/report.py
@@ -11,7 +11,7 @@
     from collections import Counter
 
     from ..metrics.recorder import Recorder
-    from ..routing.exchanges import Answer, CallerRequest, Exchange
+    from ..routing.exchanges import Answer, CallerRequest, Exchange, Task
 
 logger = logging.getLogger(__name__)
 
@@ -90,8 +90,14 @@
             "sends": exchange.attempts_count,
             "tasks": len(exchange.tasks),
             "done": exchange.done_count,
-            "missing": [
-                f"{task.service}: {task.failure} ({','.join(sorted(task.ran_on))})"
-                for task in open_tasks[:MAX_TASKS_LOGGED]
-            ],
+            "missing": [_described(task) for task in open_tasks[:MAX_TASKS_LOGGED]],
         }
+
+
+def _described(task: Task) -> str:
+    """Return why *task* has no part, which servers it was sent to, and why to no further one."""
+    servers = ",".join(sorted(task.ran_on))
+    described = f"{task.service}: {task.failure} ({servers})"
+    if task.hedge_refusal:
+        described += f"; not sent again: {task.hedge_refusal}"
+    return described
--- a/marigoldwalk/gateway/settings.py
+++ b/marigoldwalk/gateway/settings.py
@@ -43,7 +43,6 @@
     """Processor time that the daemon may use, in cores."""
     grace_s: float
     """Time from SIGTERM to the end of the process, seconds."""
-    stability_s: float
     limits: RoutingLimits
 
 
@@ -63,8 +62,6 @@
     cpu_share: float = Field(default=1.0, gt=0)
     """The part of each core that the daemon may use."""
     grace_s: float = Field(default=6.0, gt=0)
-    drain_ms: float = Field(default=3000.0, ge=0)
-    stability_ms: float = Field(default=4000.0, ge=0)
     retry_ratio: float = Field(default=0.2, ge=0)
     retry_window_s: float = Field(default=10.0, gt=0)
     retry_slack: float = Field(default=52.0, ge=0)
@@ -105,7 +102,6 @@
         log_level=model.log_level,
         cores=model.cores * model.cpu_share,
         grace_s=model.grace_s,
-        stability_s=model.stability_ms / 1000,
         limits=RoutingLimits(
             retries=retries,
             cold_factor=model.cold_factor,
--- a/marigoldwalk/platform/headers.py
+++ b/marigoldwalk/platform/headers.py
@@ -80,7 +80,6 @@
         """Return a server's reply, or ``None`` if it belongs to another request."""
         signature = ""
         executed = raw.status != _OTHER_SERVER_STATUS
-        is_leaving = False
         encoded = False
         kept: list[tuple[str, str]] = []
         for name, value in raw.headers:
@@ -91,8 +90,6 @@
                 signature = value
             elif lower == NOT_RUN:
                 executed = False
-            elif lower == "connection":
-                is_leaving = "close" in value.lower()
             elif lower == "content-encoding":
                 encoded = True
             if lower not in _HOP_BY_HOP and lower != "content-length":
@@ -107,7 +104,6 @@
             signature=signature,
             executed=executed,
             is_other_server=raw.status == _OTHER_SERVER_STATUS,
-            is_leaving=is_leaving,
         )
 
     def merged_headers(self, answer: MergedAnswer) -> list[tuple[str, str]]:
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -26,8 +26,6 @@
     """``False`` if the server states that it did not run the request."""
     is_other_server: bool = False
     """Whether another server has the address now."""
-    is_leaving: bool = False
-    """Whether the server closes the connection after this response."""
 
     @property
     def is_success(self) -> bool:
@@ -82,7 +80,6 @@
     task: Task
     row: ServerRow
     sent_at: float
-    is_repeat: bool
     is_open: bool = True
 
 
@@ -111,6 +108,8 @@
     """The part, or the last failure that a server answered."""
     sends: int = 0
     hedge_at: float = float("inf")
+    hedge_refusal: str = ""
+    """Why no second attempt was sent when one was considered last."""
     resend_at: float = float("inf")
     failure: str = ""
     """Why the task failed."""
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -34,15 +34,20 @@
 class NoServer:
     """No server can take the attempt, and why. It is falsy."""
 
+    code: str
+    """Names the counter of such refusals."""
     reason: str
 
     def __bool__(self) -> bool:
         return False
 
 
-UNREGISTERED = NoServer("no server is registered")
-ALL_BUSY = NoServer("every server has as many attempts as this daemon may send it")
-ALL_TRIED = NoServer("every server was tried")
+UNREGISTERED = NoServer("unregistered", "no server is registered")
+ALL_BUSY = NoServer("all_busy", "every server has as many attempts as this daemon may send it")
+ALL_TRIED = NoServer("all_tried", "every server was tried")
+ALL_STALLED = NoServer("all_stalled", "every other server would take as long")
+TOO_LATE = NoServer("too_late", "a second attempt would miss the target")
+BUDGET_SCARCE = NoServer("no_budget", "the retry budget is kept for queries that it decides")
 
 
 def choose_server(
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -18,8 +18,6 @@
 
 ANSWER_MARGIN_S = 0.004
 """Time for merging, timers that fire late and the way through this daemon."""
-LAG_MEMORY = 0.95
-"""Part of the highest lag seen that is kept from one answer to the next."""
 LAG_SHARE = 0.15
 """The most of a target that is given up for answers that leave late."""
 ABANDON_AFTER_S = 0.3
@@ -92,13 +90,10 @@
         return world.take_actions()
 
     def _note_lag(self, exchange: Exchange) -> None:
-        """Remember how late answers leave that were due at their target.
-
-        Load pattern: many wide queries on a small machine, whose events wait for the processor.
-        """
+        """Remember how late an answer leaves that was due at its target."""
         lag_s = self.world.now - exchange.target_at
         if lag_s >= 0:
-            self.world.lag_s = max(lag_s, LAG_MEMORY * self.world.lag_s)
+            self.world.lags.note(lag_s)
 
     def _run_due(self, exchange: Exchange) -> None:
         """Do what is due for the tasks, and note when something is due next."""
@@ -137,7 +132,7 @@
         lead_s = ANSWER_MARGIN_S + delay_s
         deadline_at = min(request.deadline_at, request.received_at + route.timeout_s)
         give_up_at = max(deadline_at - lead_s, request.received_at)
-        lag_s = min(self.world.lag_s, LAG_SHARE * route.target_s)
+        lag_s = min(self.world.lags.lag_s, LAG_SHARE * route.target_s)
         target_at = request.received_at + route.target_s - lead_s - delay_s - lag_s
         return Exchange(request, route, version, min(target_at, give_up_at), give_up_at)
 
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -5,7 +5,16 @@
 from typing import TYPE_CHECKING
 
 from .exchanges import Attempt, Send, Task, TaskState
-from .placement import ALL_BUSY, ALL_TRIED, STALL_FACTOR, choose_server, cost_of
+from .placement import (
+    ALL_BUSY,
+    ALL_STALLED,
+    ALL_TRIED,
+    BUDGET_SCARCE,
+    STALL_FACTOR,
+    TOO_LATE,
+    choose_server,
+    cost_of,
+)
 from .tables import ServerRow
 
 if TYPE_CHECKING:
@@ -97,24 +106,36 @@
         task.hedge_at = float("inf")
         return
     task.hedge_from(world.now + HEDGE_RECHECK_S)
+    chosen = _choose_for_hedge(world, task)
+    if isinstance(chosen, ServerRow):
+        world.budget(task.service).note_repeat(world.now)
+        world.counters["hedge.sent"] += 1
+        task.hedge_refusal = ""
+        _send(world, task, chosen)
+    else:
+        world.counters[f"hedge.{chosen.code}"] += 1
+        if chosen is not TOO_LATE or not task.hedge_refusal:
+            # While there was time, something else stood in the way.
+            task.hedge_refusal = chosen.reason
+
+
+def _choose_for_hedge(world: RoutingWorld, task: Task) -> ServerRow | NoServer:
+    """Return the server for a second attempt, or why there should be none now."""
     if not _can_still_help(world, task):
-        return
+        return TOO_LATE
     chosen = _choose(world, task, task.avoided | task.ran_on)
     if not isinstance(chosen, ServerRow):
-        return
+        return chosen
     if cost_of(chosen, world.domain, world.now) >= STALL_FACTOR:
         # It would wait there as it does here.
-        return
+        return ALL_STALLED
     if world.budget(task.service).is_scarce(world.share(task.service), world.now):
-        world.counters["hedge.no_budget"] += 1
-        return
-    world.budget(task.service).note_repeat(world.now)
-    world.counters["hedge.sent"] += 1
-    _send(world, task, chosen)
+        return BUDGET_SCARCE
+    return chosen
 
 
 def release(world: RoutingWorld, attempt: Attempt) -> None:
-    """Take an ended attempt out of the tables and give its server to a task that waits."""
+    """Take an ended attempt out of the tables."""
     attempt.is_open = False
     attempt.row.open_attempts.pop(attempt.number, None)
     if attempt in attempt.task.open_attempts:
@@ -196,7 +217,7 @@
     usual = world.latencies(exchange.route)
     high_s = max(usual.high_s, LEAST_HEDGE_S)
     hedge_s = min(HEDGE_AFTER_HIGH * high_s, HEDGE_TARGET_SHARE * exchange.route.target_s)
-    attempt = Attempt(world.next_attempt_number(), task, row, world.now, task.sends > 0)
+    attempt = Attempt(world.next_attempt_number(), task, row, world.now)
     world.cold.note(row, world.now)
     task.sends += 1
     task.state = TaskState.SENT
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -10,6 +10,7 @@
 from .budgets import BudgetLimits, RetryBudget
 from .catalog import Catalog
 from .cold import ColdAllowances
+from .lags import LagTracker
 from .latencies import LatencyTracker
 from .queueing import TaskQueue
 from .splits import SplitChooser
@@ -45,8 +46,7 @@
         """Daemons that may be sending to the same servers, this one included."""
         self.shard_share = 1.0
         """This daemon's share of what the fleet may send to the servers of shards."""
-        self.lag_s = 0.0
-        """How late answers that were due have left of late."""
+        self.lags = LagTracker()
         self.catalog = Catalog()
         self.splits = SplitChooser()
         self.cold = ColdAllowances(limits)
