--- a/tests/platform/standin.py
+++ b/standins/users_platform.py
@@ -5,6 +5,7 @@
 import json
 from base64 import b64encode
 from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
 
 import bottle
 import gevent
@@ -13,6 +14,11 @@
 
 from marigoldwalk.config.view import Address
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from marigoldwalk.daemon.http_server import WsgiApplication
+
 GARBLED = {
     "cut": "{",
     "list": "[]",
@@ -27,7 +33,7 @@
 class StandinStore:
     """Keys with revisions, read in pages and watched."""
 
-    def __init__(self, page_size=2):
+    def __init__(self, page_size: int = 2) -> None:
         self.items = {}
         self.history = []
         self.revision = 10
@@ -44,20 +50,24 @@
         self._server.start()
         self.address = Address("127.0.0.1", self._server.server_port)
 
-    def stop(self):
+    def stop(self) -> None:
+        """End the server."""
         self._server.stop(timeout=0)
 
-    def put(self, key, value):
+    def put(self, key: str, value: Any) -> None:
+        """Write a record, or bytes as they are, under *key*."""
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._record({"key": key, "value": b64encode(body).decode()})
 
-    def delete(self, key):
+    def delete(self, key: str) -> None:
+        """Remove *key*."""
         self._record({"key": key, "tombstone": True})
 
-    def compact(self):
+    def compact(self) -> None:
+        """Forget all changes so far."""
         self.kept_from = self.revision + 1
 
-    def _record(self, event):
+    def _record(self, event: dict[str, Any]) -> None:
         self.revision += 1
         event["revision"] = self.revision
         self.history.append(event)
@@ -68,7 +78,7 @@
         self._changed.set()
         self._changed.clear()
 
-    def _fail(self):
+    def _fail(self) -> bottle.HTTPResponse | None:
         if self.failure == "busy":
             return bottle.HTTPResponse("", 503)
         if self.failure in GARBLED:
@@ -77,7 +87,7 @@
             gevent.sleep(3600)
         return None
 
-    def _range(self):
+    def _range(self) -> bottle.HTTPResponse | dict[str, Any]:
         query = bottle.request.query
         self.calls.append(("range", query.prefix))
         if (failed := self._fail()) is not None:
@@ -90,7 +100,7 @@
             "current-rev": self.revision,
         }
 
-    def _watch(self):
+    def _watch(self) -> bottle.HTTPResponse | dict[str, Any]:
         query = bottle.request.query
         self.calls.append(("watch", int(query.after)))
         if (failed := self._fail()) is not None:
@@ -107,7 +117,9 @@
 class StandinServer:
     """A backend server that answers every request with its id, or as *answer* says."""
 
-    def __init__(self, server_id, body=b"", answer=None):
+    def __init__(
+        self, server_id: str, body: bytes = b"", answer: WsgiApplication | None = None
+    ) -> None:
         self.server_id = server_id
         self.requests = []
         self._body = body
@@ -116,10 +128,12 @@
         self._server.start()
         self.address = Address("127.0.0.1", self._server.server_port)
 
-    def stop(self):
+    def stop(self) -> None:
+        """End the server."""
         self._server.stop(timeout=0)
 
-    def registration(self, service, **changes):
+    def registration(self, service: str, **changes: Any) -> dict[str, Any]:
+        """Return the record by which the server registers."""
         fields = {
             "service": service,
             "address": str(self.address),
@@ -132,7 +146,7 @@
         }
         return fields | changes
 
-    def _serve(self, environ, start_response):
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
         self.requests.append((environ["REQUEST_METHOD"], environ["PATH_INFO"], body))
         if self._answer is not None:
@@ -147,7 +161,8 @@
 
 
 @contextmanager
-def stopping(*standins):
+def stopping(*standins: StandinStore | StandinServer) -> Iterator[tuple[Any, ...]]:
+    """End *standins* after a ``with`` block."""
     try:
         yield standins
     finally:
@@ -155,7 +170,10 @@
             standin.stop()
 
 
-def config_record(version=1, routes=(), services=()):
+def config_record(
+    version: int = 1, routes: Iterable[dict[str, Any]] = (), services: Iterable[str] = ()
+) -> dict[str, Any]:
+    """Return the record of a configuration."""
     return {
         "version": version,
         "routes": list(routes),
@@ -164,7 +182,8 @@
     }
 
 
-def route_record(prefix="/one/", **changes):
+def route_record(prefix: str = "/one/", **changes: Any) -> dict[str, Any]:
+    """Return the record of a route; changes to ``None`` leave a field out."""
     fields = {
         "name": f"r{prefix}",
         "host": "desk.example",
--- a/tests/gateway/daemons.py
+++ b/tests/gateway/daemons.py
@@ -9,9 +9,15 @@
 
 from marigoldwalk.gateway.settings import parse_gateway_settings
 from marigoldwalk.platform.__main__ import make_gateway
+from standins.users_platform import (
+    StandinServer,
+    StandinStore,
+    config_record,
+    route_record,
+    stopping,
+)
 
 from ..daemon.scripted import PATIENCE_S
-from ..platform.standin import StandinServer, StandinStore, config_record, route_record, stopping
 
 SETTINGS = """
 name: g-1
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,8 +13,7 @@
 from marigoldwalk.platform import store as store_module
 from marigoldwalk.platform.mirror import Mirror
 from marigoldwalk.platform.store import StoreClient
-
-from .standin import GARBLED, StandinServer, StandinStore, config_record, stopping
+from standins.users_platform import GARBLED, StandinServer, StandinStore, config_record, stopping
 
 
 @pytest.fixture
