Let a daemon that is told to stop while it is being loaded end by the signal

It had taken nothing and was not ready. Ruled out: a crash (the log ends without an error, the next start follows 0.3 s later).

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -84,6 +84,7 @@
         self._now = now
         self._process: subprocess.Popen[bytes] | None = None
         self._ended_by_us = False
+        self._was_ready = False
         self._stop_at: float | None = None
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -163,6 +164,7 @@
                 stderr=log,
             )
         self._ended_by_us = False
+        self._was_ready = False
         self._stop_at = None
 
     def _keep(self) -> None:
@@ -175,11 +177,20 @@
                 continue
             if self._stop_at is not None:
                 self._journal.stops.append((self.name, self._stop_at, self._now()))
-            if not self._ended_by_us and (self._stop_at is None or status != 0):
+            if not self._ended_by_us and not self._ended_as_told(status):
                 self._journal.ends.append((self.name, self._now(), status))
             gevent.sleep(RESTART_S)
             self._start()
 
+    def _ended_as_told(self, status: int) -> bool:
+        """Return whether a stop ended the process well.
+
+        SIGTERM ends a process that is still being loaded in the default way; it has taken nothing.
+        """
+        if self._stop_at is None:
+            return False
+        return status == 0 or (status == -signal.SIGTERM and not self._was_ready)
+
     def _kill_overdue(self) -> None:
         """Kill a process that outlives its grace time, as the platform does."""
         if self._stop_at is not None and self._now() - self._stop_at > GRACE_S:
@@ -189,7 +200,9 @@
         """Ask what the balancer asks."""
         while True:
             gevent.sleep(READY_EVERY_S)
-            self.misses = 0 if self._is_ready() else self.misses + 1
+            is_ready = self._is_ready()
+            self._was_ready |= is_ready
+            self.misses = 0 if is_ready else self.misses + 1
 
     def _is_ready(self) -> bool:
         address = (LOOPBACK, self.ports.ready)
