Give callers the configuration's idle and header timeouts; outdo an own older incarnation

Cause: idle-timeout and header-timeout of the configuration were read but 75 s and 5 s were used. Late headers now get 408, which promises that nothing ran, instead of 400, so one test of the product's own interface expects 408. A request that arrived while the process was paused is read although its idle time is over (test). A daemon that starts again with an earlier time of day was passed over by the others for up to 25 s; it now takes an incarnation above the one it hears of (test failed before). Readers and carriers choose strong members by one function.

--- a/marigoldwalk/daemon/http_server.py
+++ b/marigoldwalk/daemon/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -36,6 +37,20 @@
 SETTLE_S = 0.3
 
 
+_TIMED_OUT = (
+    "408",
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long a server waits for its callers, in seconds."""
+
+    idle_s: float = IDLE_S
+    header_s: float = HEADER_S
+
+
 class BoundedHandler(WSGIHandler):
     """A handler that gives up on callers that are too slow."""
 
@@ -43,16 +58,32 @@
         """Read the first line of a request."""
         self.server.idle[self] = gevent.getcurrent()
         try:
-            with gevent.Timeout(IDLE_S, TimeoutError("no further request")):
-                return super().read_requestline()
+            return self._read_line(self.server.patience().idle_s)
+        except TimeoutError:
+            if not has_input(self.socket):
+                raise
+            # This process was paused, and the request arrived meanwhile.
+            return self._read_line(self.server.patience().header_s)
         finally:
             self.server.idle.pop(self, None)
 
+    def _read_line(self, timeout_s: float) -> str:
+        with gevent.Timeout(timeout_s, TimeoutError("no further request")):
+            return super().read_requestline()
+
     def read_request(self, raw_requestline: str) -> bool:
         """Read the headers of a request."""
-        with gevent.Timeout(HEADER_S, ValueError("the headers did not arrive in time")):
+        header_s = self.server.patience().header_s
+        with gevent.Timeout(header_s, TimeoutError("the headers did not arrive in time")):
             return super().read_request(raw_requestline)
 
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        """Return the answer to a request that cannot be read; pywsgi's hook for this."""
+        if isinstance(ex, TimeoutError):
+            logger.info("request headers did not arrive", extra={"fields": {"why": str(ex)}})
+            return _TIMED_OUT
+        return super()._handle_client_error(ex)
+
     def handle_one_response(self) -> None:
         """Answer one request."""
         self.server.open_requests += 1
@@ -78,8 +109,10 @@
 
     open_requests = 0
 
-    def __init__(self, *args: Any, **options: Any) -> None:
+    def __init__(self, *args: Any, patience: Callable[[], Patience], **options: Any) -> None:
         super().__init__(*args, **options)
+        self.patience = patience
+        """Asked at each wait, since the limits of a configuration change."""
         self.idle: dict[BoundedHandler, gevent.Greenlet] = {}
         """Handlers that wait for a request, with the greenlets that they wait in."""
 
@@ -113,11 +146,16 @@
             self.do_handle(*accepted)
 
 
-def make_server(listener: socket.socket, app: bottle.Bottle | WsgiApplication) -> BoundedServer:
+def make_server(
+    listener: socket.socket,
+    app: bottle.Bottle | WsgiApplication,
+    patience: Callable[[], Patience] = lambda: Patience(IDLE_S, HEADER_S),
+) -> BoundedServer:
     """Return a server of *app* on *listener*; the owner starts and stops it."""
     return BoundedServer(
         listener,
         app,
+        patience=patience,
         environ={"SERVER_NAME": listener.getsockname()[0]},
         spawn=Pool(MAX_CONNECTIONS),
         log=None,
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from ..application import bound_address, listen
-from ..daemon.http_server import make_server
+from ..daemon.http_server import Patience, make_server
 from ..daemon.log_output import LineOutput
 from ..daemon.logs import configure_logs
 from ..metrics.recorder import Recorder
@@ -88,7 +88,9 @@
         readers = Readers(self._membership)
         self._feed = Feed(store, readers, self.world.catalog, now, counters)
         self._caller_listener = listen(settings.caller_address)
-        self._caller_server = make_server(self._caller_listener, self._front.callers)
+        self._caller_server = make_server(
+            self._caller_listener, self._front.callers, self._patience
+        )
         peer_app = _dispatch(copy_app, self._front.peers)
         self._peer_listener = listen(settings.peer_address)
         self._peer_server = make_server(self._peer_listener, peer_app)
@@ -111,6 +113,13 @@
         self._note_members()
         self._stop_requested = Event()
 
+    def _patience(self) -> Patience:
+        """Return how long callers may take, as the configuration in force has it."""
+        config = self.world.catalog.config
+        if config is None:
+            return Patience()
+        return Patience(config.limits.idle_timeout_s, config.limits.header_timeout_s)
+
     def _make_membership(self) -> Membership:
         settings = self.settings
         incarnation = int(self._clock.started_at * 1000)
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.hashing import stable_hash
+from .membership import strong_members
 
 if TYPE_CHECKING:
     from .membership import MemberReport, Membership
@@ -22,8 +23,6 @@
 """Connections to a server that a carrier should be able to hold: two slots, used twice."""
 CARRIER_SHARE = 0.8
 """Part of what the fleet may send that carriers use; the rest is for daemons without one."""
-STRONG_SHARE = 0.5
-"""Part of the strongest member's processor time from which a member counts as strong."""
 PASS_OVER_S = 1.0
 """Time for which a carrier that failed is left alone; gossip suspects it after 5 s."""
 
@@ -95,7 +94,5 @@
 
 def _carriers(live: list[MemberReport], domain: str, count: int) -> list[MemberReport]:
     """Return the strong members of *domain* that stay, at most *count*."""
-    staying = [r for r in live if r.domain == domain and not r.is_leaving]
-    most = max((report.cores for report in staying), default=0.0)
-    strong = [report for report in staying if report.cores >= STRONG_SHARE * most]
+    strong = strong_members(report for report in live if report.domain == domain)
     return sorted(strong, key=lambda report: stable_hash(domain, report.name))[:count]
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -34,6 +34,8 @@
 """Members in one datagram within a failure domain, some five kilobytes."""
 MAX_MEMBERS_TOLD_FAR = 12
 """Members in one datagram to another failure domain, which fit into one packet."""
+STRONG_SHARE = 0.5
+"""Part of the strongest member's processor time from which a member counts as strong."""
 UNKNOWN_MEMBERS = 8
 """Members assumed before any other daemon was heard of."""
 
@@ -77,6 +79,13 @@
         return MemberState.SUSPECT if silence_s >= SUSPECT_AFTER_S else MemberState.ALIVE
 
 
+def strong_members(reports: Iterable[MemberReport]) -> list[MemberReport]:
+    """Return the members that stay and have at least half as much processor time as any of them."""
+    staying = [report for report in reports if not report.is_leaving]
+    most = max((report.cores for report in staying), default=0.0)
+    return [report for report in staying if report.cores >= STRONG_SHARE * most]
+
+
 class Membership:
     """The table of members; performs nothing and reads no clock.
 
@@ -144,9 +153,20 @@
     def hear(self, reports: Iterable[MemberReport], now: float) -> None:
         """Take in what another daemon tells."""
         for report in reports:
-            if report.name != self.own.name:
+            if report.name == self.own.name:
+                self._outdo(report)
+            else:
                 self._hear_one(report, now)
 
+    def _outdo(self, report: MemberReport) -> None:
+        """Take an incarnation above one that others know of this daemon.
+
+        The time of day may have been ahead when the process before this one started; the others
+        would pass over what this one tells until they have forgotten the other.
+        """
+        if report.incarnation > self.own.incarnation:
+            self.own = replace(self.own, incarnation=report.incarnation + 1)
+
     def _hear_one(self, report: MemberReport, now: float) -> None:
         row = self._rows.get(report.name)
         if row is None:
--- a/marigoldwalk/routing/readers.py
+++ b/marigoldwalk/routing/readers.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..util.hashing import stable_hash
-from .delegation import STRONG_SHARE
+from .membership import strong_members
 
 if TYPE_CHECKING:
     from ..config.view import Address
@@ -62,13 +62,14 @@
     def _readers(self, now: float) -> list[MemberReport]:
         own = self._membership.own
         live = [own, *(row.report for row in self._membership.alive(now))]
-        staying = [report for report in live if not report.is_leaving]
-        most = max(report.cores for report in staying) if staying else 0.0
-        ordered = sorted(
-            staying,
-            key=lambda r: (r.cores < STRONG_SHARE * most, stable_hash("reader", r.name)),
-        )
-        first_of_domain = {report.domain: report for report in reversed(ordered)}
-        readers = list(first_of_domain.values())
-        others = [report for report in ordered if report not in readers]
+        domains = sorted({report.domain for report in live})
+        strong = [strong_members(r for r in live if r.domain == domain) for domain in domains]
+        readers = [min(reports, key=_order) for reports in strong if reports]
+        others = [r for r in live if not r.is_leaving and r not in readers]
+        strongest = strong_members(live)
+        others.sort(key=lambda report: (report not in strongest, _order(report)))
         return readers + others[: max(0, READERS - len(readers))]
+
+
+def _order(report: MemberReport) -> int:
+    return stable_hash("reader", report.name)
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
 import gevent
@@ -257,3 +258,32 @@
     assert counters["refusal.malformed"] == 1
     assert counters["refusal.body_too_large"] == 1
     assert counters["refusal.headers_too_large"] == 1
+
+
+def set_limits(daemon, **limits):
+    catalog = daemon.gateway.world.catalog
+    config = catalog.config
+    catalog.apply_config(replace(config, version=2, limits=replace(config.limits, **limits)))
+
+
+def test_callers_that_are_idle_or_slow_get_the_time_of_the_configuration():
+    with deployment() as (daemon, _):
+        set_limits(daemon, idle_timeout_s=0.03, header_timeout_s=0.02)
+        with daemon.connect() as sock, sock.makefile("rb") as stream:
+            sock.sendall(request())
+            assert read_response(stream)[0] == 200
+            assert read_response(stream) is None
+        with daemon.connect() as sock, sock.makefile("rb") as stream:
+            sock.sendall(b"GET /one/1 HTTP/1.1\r\nHost:")
+            assert read_response(stream)[0] == 408
+
+
+def test_a_request_that_arrived_while_the_process_was_paused_is_read():
+    with deployment() as (daemon, _):
+        set_limits(daemon, idle_timeout_s=0.05)
+        with daemon.connect() as sock, sock.makefile("rb") as stream:
+            sock.sendall(request())
+            assert read_response(stream)[0] == 200
+            sock.sendall(request())
+            time.sleep(0.1)
+            assert read_response(stream)[0] == 200
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -142,3 +142,16 @@
     fleet.cut = set()
     fleet.run(14)
     assert fleet.counts() == [7] * 7
+
+
+def test_a_daemon_whose_clock_went_back_outdoes_what_is_known_of_it():
+    fleet = Fleet(6)
+    fleet.incarnation = 5000
+    fleet.start(3)
+    fleet.run(10)
+    fleet.incarnation = 1000
+    fleet.start(3)
+    fleet.run(6)
+    row = next(r for r in fleet.daemons[0].rows() if r.report.name == "m-3")
+    assert row.report.incarnation > 5000
+    assert row.state(fleet.now) is MemberState.ALIVE
