End the reading greenlet before its connections are closed at a stop

A planned stop came while an answer of the store was half read; closing the connection then raised RuntimeError (reentrant call inside BufferedReader) and the daemon ended with status 1 after it had drained. The test plays half an answer and failed before.

--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -32,6 +32,8 @@
 FIRST_BACKOFF_S = 0.3
 LAST_BACKOFF_S = 1.5
 """Longest pause between tries; recovery must be noticed well within the stability time."""
+STOP_S = 0.2
+"""Time for the reading greenlet to end at a stop; it ends at its next switch."""
 RETURN_S = 2.2
 """Time after the store's return in which live servers register again: two seconds, and a bit."""
 
@@ -70,7 +72,8 @@
     def stop(self) -> None:
         """End reading."""
         if self._greenlet is not None:
-            self._greenlet.kill(block=False)
+            # A connection must not be closed while the greenlet is inside a read of it.
+            self._greenlet.kill(timeout=STOP_S)
         self._store.close()
         for copy in self._copies.values():
             copy.close()
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from collections import Counter
 
 import gevent
@@ -17,8 +18,11 @@
     StoreError,
 )
 from marigoldwalk.gateway.feed import FRESH_S, RETURN_S, Feed
+from marigoldwalk.platform.mirror import Mirror
+from marigoldwalk.platform.store import StoreClient
 from marigoldwalk.routing.catalog import Catalog
 
+from ..daemon.scripted import PATIENCE_S, scripted
 from ..routing.simulation import registration, routing_config, single_route
 
 GONE = HistoryLostError("the history is gone")
@@ -254,3 +258,16 @@
     assert ids(catalog) == ["a", "b", "c"]
     assert copy.watched == [5, 8]
     assert readers.failures == []
+
+
+def test_a_stop_in_the_middle_of_an_answer_is_clean():
+    # Half of an answer, as a slow link delivers it.
+    with scripted(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{") as slow:
+        mirror = Mirror(lambda: True)
+        store = StoreClient(slow.address, mirror)
+        feed = Feed(store, Alone(), Catalog(), time.monotonic, Counter())
+        feed.start()
+        assert slow.asked.wait(PATIENCE_S)
+        gevent.sleep(0.02)
+        feed.stop()
+        assert slow.hung_up.wait(PATIENCE_S)
