Know a slow server by two answers; leave a failed carrier alone until news of it

Two slow answers of which the second was asked for after the first had come cannot be one pause. In seconds 31 to 34, with half of the machines without power, a carrier that had failed was asked again after a second. Carriers of other domains now stand in. Ruled out: the retry budget (no hedge of these shards was held back by it).

--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -4,6 +4,10 @@
 connections to a server. Then connections are always new, pauses are noticed by nobody, and small
 machines take longer over a query than its target. So a few daemons of each failure domain, the
 strong ones, carry the wide queries of the others. In a small fleet every daemon carries its own.
+
+Carriers that lose power would cost each other daemon several queries until gossip suspects them.
+One failure is enough to leave a carrier alone until news of it arrives. When none is left in the
+own failure domain, those of other domains carry: only a request and a merged answer cross over.
 """
 
 from __future__ import annotations
@@ -24,7 +28,7 @@
 CARRIER_SHARE = 0.8
 """Part of what the fleet may send that carriers use; the rest is for daemons without one."""
 PASS_OVER_S = 1.0
-"""Time for which a carrier that failed is left alone; gossip suspects it after 5 s."""
+"""Least time for which a carrier that failed is left alone; gossip suspects it after 5 s."""
 
 
 @dataclass(slots=True)
@@ -39,9 +43,11 @@
     is_needed: bool = False
     carriers: dict[str, MemberReport] = field(default_factory=dict)
     """The carriers of the own failure domain by name, this daemon included if it is one."""
+    far_carriers: dict[str, MemberReport] = field(default_factory=dict)
+    """The carriers of the other failure domains by name."""
     shard_share: float = 1.0
     """This daemon's share of what the fleet may send to the servers of shards."""
-    _passed_over_until: dict[str, float] = field(default_factory=dict)
+    _failed_at: dict[str, float] = field(default_factory=dict)
     _open: dict[str, int] = field(default_factory=dict)
 
     def update(self, max_connections: int, now: float) -> None:
@@ -50,15 +56,18 @@
         self.is_needed = max_connections / members < LEAST_CONNECTIONS
         if not self.is_needed:
             self.carriers = {}
+            self.far_carriers = {}
             self.shard_share = 1 / members
             return
         live = [self.membership.own, *(row.report for row in self.membership.alive(now))]
         domains = {report.domain for report in live}
         count = max(1, int(CARRIER_SHARE * max_connections / CARRIER_CONNECTIONS / len(domains)))
         by_domain = {domain: _carriers(live, domain, count) for domain in domains}
-        own = by_domain[self.membership.own.domain]
-        self.carriers = {report.name: report for report in own}
         total = sum(len(reports) for reports in by_domain.values())
+        own = by_domain.pop(self.membership.own.domain)
+        self.carriers = {report.name: report for report in own}
+        far = (report for reports in by_domain.values() for report in reports)
+        self.far_carriers = {report.name: report for report in far}
         if self.membership.own.name in self.carriers:
             self.shard_share = CARRIER_SHARE / total
         else:
@@ -68,13 +77,19 @@
         """Return the daemon that should carry a wide query, or ``None`` for this one."""
         if not self.is_needed or self.membership.own.name in self.carriers:
             return None
-        usable = [
-            report
-            for report in self.carriers.values()
-            if self._passed_over_until.get(report.name, 0.0) <= now
-        ]
+        usable = self._usable(self.carriers, now) or self._usable(self.far_carriers, now)
         return min(usable, key=self._load, default=None)
 
+    def _usable(self, carriers: dict[str, MemberReport], now: float) -> list[MemberReport]:
+        return [report for report in carriers.values() if not self._is_passed_over(report, now)]
+
+    def _is_passed_over(self, report: MemberReport, now: float) -> bool:
+        """Return whether a carrier failed and nothing has been heard of it since."""
+        failed_at = self._failed_at.get(report.name)
+        if failed_at is None:
+            return False
+        return now < failed_at + PASS_OVER_S or self.membership.heard_at(report.name) <= failed_at
+
     def begin(self, carrier: MemberReport) -> None:
         """Note that a query goes to *carrier*."""
         self._open[carrier.name] = self._open.get(carrier.name, 0) + 1
@@ -83,7 +98,7 @@
         """Note that a query came back from *carrier*, or that it failed."""
         self._open[carrier.name] -= 1
         if failed:
-            self._passed_over_until[carrier.name] = now + PASS_OVER_S
+            self._failed_at[carrier.name] = now
 
     def _load(self, report: MemberReport) -> tuple[float, int, str]:
         open_count = self._open.get(report.name, 0)
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -108,6 +108,11 @@
         """Return the other members that are not forgotten."""
         return list(self._rows.values())
 
+    def heard_at(self, name: str) -> float:
+        """Return when news of a member arrived last, long ago if it is not known."""
+        row = self._rows.get(name)
+        return row.heard_at if row is not None else float("-inf")
+
     def possible_count(self) -> int:
         """Return how many daemons may be sending, this one included."""
         return len(self._rows) + 1 if self._rows else UNKNOWN_MEMBERS
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -90,7 +90,8 @@
     if reply.is_success:
         usual = world.latencies(attempt.task.exchange.route)
         latency_s = world.now - attempt.sent_at
-        row.note_latency(latency_s / max(usual.median_s, 0.001), world.now)
+        ratio = latency_s / max(usual.median_s, 0.001)
+        row.note_latency(ratio, attempt.sent_at, world.now)
         row.note_success(world.now)
         usual.note(latency_s)
     elif reply.is_other_server:
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -40,8 +40,10 @@
     idle_connections: int = 0
     latency_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=LATENCY_SAMPLES))
     """Latest latencies over what is usual for their routes."""
+    lowest_ratios: tuple[float, float] = (1.0, 1.0)
+    """The lowest latency of each of the last two groups of answers that were open together."""
     latency_ratio: float = 1.0
-    """Their median, as of ``latency_at``."""
+    """How much slower than usual the server is, as of ``latency_at``."""
     latency_at: float = 0.0
     failures: float = 0.0
     """Recent failures, forgotten with a half-life."""
@@ -70,12 +72,21 @@
         forgotten = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE_S)
         return 1.0 + (self.latency_ratio - 1.0) * forgotten
 
-    def note_latency(self, ratio: float, now: float) -> None:
-        """Take an answer's latency, relative to what is usual for its route, into account."""
+    def note_latency(self, ratio: float, sent_at: float, now: float) -> None:
+        """Take an answer's latency, relative to what is usual for its route, into account.
+
+        A pause delays the answers that are open together and no later ones, so two slow answers,
+        the second of which was asked for after the first one had come, tell of a slow server.
+        """
+        earlier, latest = self.lowest_ratios
+        if sent_at >= self.latency_at:
+            self.lowest_ratios = (latest, ratio)
+        else:
+            self.lowest_ratios = (earlier, min(latest, ratio))
         ratios = self.latency_ratios
         ratios.append(ratio)
-        if len(ratios) == LATENCY_SAMPLES:
-            self.latency_ratio = sorted(ratios)[LATENCY_SAMPLES // 2]
+        usual = sorted(ratios)[LATENCY_SAMPLES // 2] if len(ratios) == LATENCY_SAMPLES else 1.0
+        self.latency_ratio = max(usual, min(self.lowest_ratios))
         self.latency_at = now
         self.unreachable_count = 0
 
--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from marigoldwalk.config.view import Address
@@ -67,15 +69,33 @@
     assert sorted(chosen).count("m-0") == 5
 
 
-def test_a_carrier_that_failed_is_left_alone_for_a_while():
-    reports = fleet(75, strong=(0, 2))
+def fail(delegation, now=NOW):
+    """Have the chosen carrier fail, and return its name."""
+    carrier = delegation.choose(now)
+    delegation.begin(carrier)
+    delegation.end(carrier, failed=True, now=now)
+    return carrier.name
+
+
+def test_a_carrier_that_failed_is_left_alone_until_news_of_it_arrives():
+    reports = fleet(75, strong=(0, 2), domains=("north",))
     delegation = delegation_of(reports[10], reports)
-    for _ in range(2):
-        carrier = delegation.choose(NOW)
-        delegation.begin(carrier)
-        delegation.end(carrier, failed=True, now=NOW)
+    failed = [fail(delegation), fail(delegation)]
+    assert sorted(failed) == ["m-0", "m-2"]
     assert delegation.choose(NOW) is None
-    assert delegation.choose(NOW + PASS_OVER_S) is not None
+    later = NOW + PASS_OVER_S
+    assert delegation.choose(later) is None
+    news = replace(reports[0], heartbeat=2)
+    delegation.membership.hear([news], NOW + 0.5)
+    assert delegation.choose(NOW + 0.6) is None
+    assert delegation.choose(later).name == "m-0"
+
+
+def test_carriers_of_other_domains_stand_in_for_the_own_ones():
+    reports = fleet(75, strong=(0, 1))
+    delegation = delegation_of(reports[10], reports)
+    assert fail(delegation) == "m-0"
+    assert delegation.choose(NOW).name == "m-1"
 
 
 def test_a_daemon_that_stops_carries_no_more():
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -61,13 +61,35 @@
     assert chosen(busy, row("b"), tried={"b"}) is ALL_BUSY
 
 
+def answers(*ratios, at=NOW, together=False):
+    """Answers as (ratio, sent at, answered at): one after the other, or all open at a time."""
+    step_s = 0.0 if together else 0.1
+    return [(ratio, at + n * step_s, at + n * step_s + 0.05) for n, ratio in enumerate(ratios)]
+
+
+USUAL = answers(1.0, 1.1, 0.9, 1.0, 1.0, at=NOW - 1.0)
+
+
 @pytest.mark.parametrize(
-    ("ratios", "expected"),
-    [([7.0, 7.0], "near"), ([7.0] * 3, "far"), ([7.0] * 3 + [1.0] * 3, "near")],
-    ids=["paused", "slow", "well again"],
+    ("later", "expected"),
+    [
+        (answers(7.0), "near"),
+        (answers(7.0, 7.0, together=True), "near"),
+        (answers(7.0, 7.0), "far"),
+        (answers(7.0, 1.0, 7.0), "near"),
+        (answers(7.0, 7.0, 7.0, 1.0, 1.0, 1.0), "near"),
+    ],
+    ids=["one pause", "a pause with several open", "slow", "two pauses", "well again"],
 )
-def test_a_pause_moves_no_work_to_another_domain_and_slowness_does(ratios, expected):
+def test_a_pause_moves_no_work_to_another_domain_and_slowness_does(later, expected):
     near = row("near")
-    for ratio in [1.0, 1.1, 0.9, 1.0, 1.0, *ratios]:
-        near.note_latency(ratio, NOW)
+    for ratio, sent_at, answered_at in [*USUAL, *later]:
+        near.note_latency(ratio, sent_at, answered_at)
     assert chosen(near, row("far", domain="south")) == expected
+
+
+def test_a_server_that_is_slow_from_the_first_answers_on_is_known_by_two():
+    near = row("near")
+    for ratio, sent_at, answered_at in answers(7.0, 7.0):
+        near.note_latency(ratio, sent_at, answered_at)
+    assert chosen(near, row("far", domain="south")) == "far"
