--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -29,6 +29,12 @@
 follower's own watch it stays below the 3 s in which a configuration is in force."""
 COALESCE_S = 0.1
 """Pause after a change, so that changes in quick succession cost one call."""
+LONGEST_COALESCE_S = 0.35
+"""The same while changes go on, as when an index is cut anew; each call to the store is priced, and
+this is a tenth of the time in which a change must be in force."""
+COALESCE_GROWTH = 1.4
+SUCCESSION_S = 1.0
+"""Time after a change in which the next one counts as following it."""
 FIRST_BACKOFF_S = 0.3
 LAST_BACKOFF_S = 1.5
 """Longest pause between tries; recovery must be noticed well within the stability time."""
@@ -63,6 +69,8 @@
         self._is_lost = False
         self._is_read = False
         self._backoff_s = FIRST_BACKOFF_S
+        self._coalesce_s = COALESCE_S
+        self._changed_at = float("-inf")
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -97,14 +105,27 @@
         try:
             self._watch(copy)
         except HistoryLostError:
-            # The copy was made later than what is known here; one call to the store closes the gap.
-            self._step_at(self._store)
+            self._close_gap(copy)
         except StoreError as exc:
             self._counters["store.reader_failed"] += 1
             self._readers.note_failure(address, self._now())
             fields = {"reader": str(address), "why": str(exc)}
             logger.info("a reader of the store does not answer", extra={"fields": fields})
 
+    def _close_gap(self, copy: Store) -> None:
+        """Catch up with a copy that was made later than what is known here.
+
+        One call to the store does it, unless the store's own history is gone too; then the copy is
+        read, since all followers come at this moment.
+        """
+        try:
+            self._watch(self._store)
+        except HistoryLostError:
+            self._counters["store.history_lost"] += 1
+            self._read(copy)
+        else:
+            self._note_answer()
+
     def _step_at(self, store: Store) -> None:
         try:
             if self._is_read:
@@ -155,7 +176,17 @@
                 self._back_off()
             else:
                 if self.revision != before:
-                    gevent.sleep(COALESCE_S)
+                    gevent.sleep(self._pause_after_change())
+
+    def _pause_after_change(self) -> float:
+        """Return how long further changes may gather: longer while they follow one another."""
+        now = self._now()
+        if now - self._changed_at < SUCCESSION_S:
+            self._coalesce_s = min(self._coalesce_s * COALESCE_GROWTH, LONGEST_COALESCE_S)
+        else:
+            self._coalesce_s = COALESCE_S
+        self._changed_at = now
+        return self._coalesce_s
 
     def _back_off(self) -> None:
         gevent.sleep(self._backoff_s * random.uniform(0.7, 1.0))
--- a/marigoldwalk/platform/store.py
+++ b/marigoldwalk/platform/store.py
@@ -42,25 +42,26 @@
         return StoreClient(address, self.mirror)
 
     def read(self) -> Facts:
-        """Return all that the store holds; raises ``StoreError``."""
-        items: list[dict[str, Any]] = []
-        revision = 0
-        for prefix in KEYS:
-            read, first_revision = self._range(prefix)
-            items += read
-            # Pages are no snapshot: what changed since the first one is told by the watch.
-            revision = min(revision, first_revision) if revision else first_revision
-        if revision < self.mirror.revision:
+        """Return all that the store holds; raises ``StoreError``.
+
+        Pages that may lag cost a tenth of a call, and one watch closes the gap. If the changes
+        since then are gone, pages that do not lag are read.
+        """
+        try:
+            items, revision = self._pages(may_lag=True)
+            events, last_revision = self._events(revision, 0.0)
+        except HistoryLostError:
+            items, revision = self._pages(may_lag=False)
+            events, last_revision = [], revision
+        if last_revision < self.mirror.revision:
             raise StoreError(f"{self._address} is at an older revision than was read before")
         self.mirror.replace(items, revision)
-        return Facts(_decode_all(items), revision)
+        self.mirror.change(events, last_revision)
+        return Facts(_decode_all([*items, *events]), last_revision)
 
     def watch(self, after: int, wait_s: float) -> Facts:
         """Return what changed after the revision *after*; raises ``StoreError``."""
-        query = {"prefix": "", "after": after, "wait-ms": int(wait_s * 1000)}
-        told = self._get("/-/kv-watch", query, wait_s + CALL_TIMEOUT_S)
-        events = told.get("events", ())
-        revision = max(int(told["current-rev"]), after)
+        events, revision = self._events(after, wait_s)
         self.mirror.change(events, revision)
         return Facts(_decode_all(events), revision)
 
@@ -70,18 +71,31 @@
             self._connection.close()
             self._connection = None
 
-    def _range(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
+    def _events(self, after: int, wait_s: float) -> tuple[list[dict[str, Any]], int]:
+        """Return the changes after a revision, and the revision up to which these are all."""
+        query = {"prefix": "", "after": after, "wait-ms": int(wait_s * 1000)}
+        told = self._get("/-/kv-watch", query, wait_s + CALL_TIMEOUT_S)
+        return told.get("events", []), max(int(told["current-rev"]), after)
+
+    def _pages(self, may_lag: bool) -> tuple[list[dict[str, Any]], int]:
+        """Return all items, and the revision that each of them is as new as."""
         items: list[dict[str, Any]] = []
-        first_revision = 0
-        query: dict[str, Any] = {"prefix": prefix}
-        while True:
-            page = self._get("/-/kv-range", query, CALL_TIMEOUT_S)
-            first_revision = first_revision or int(page["current-rev"])
-            found = page.get("items", [])
-            items += found
-            if not page.get("has-more") or not found:
-                return items, first_revision
-            query["after"] = items[-1]["key"]
+        revisions: list[int] = []
+        for prefix in KEYS:
+            query: dict[str, Any] = {"prefix": prefix}
+            if may_lag:
+                query["serializable"] = 1
+            is_last = False
+            while not is_last:
+                page = self._get("/-/kv-range", query, CALL_TIMEOUT_S)
+                # Pages are no snapshot: what changed since the oldest one is told by the watch.
+                revisions.append(int(page["current-rev"]))
+                found = page.get("items", [])
+                items += found
+                is_last = not page.get("has-more") or not found
+                if found:
+                    query["after"] = found[-1]["key"]
+        return items, min(revisions)
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> dict[str, Any]:
         try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -100,8 +100,11 @@
 
 @faults.register("store_compacts")
 def store_compacts(scene: Scene, fault: PlannedFault, rng: random.Random) -> None:
-    """Have the store forget its history."""
-    scene.deployment.store.compact()
+    """Have the store forget its history, while reads that may lag are some changes behind."""
+    store = scene.deployment.store
+    store.lag = min(rng.choice((0, 3, 12)), len(store.history))
+    gevent.spawn_later(fault.for_s, setattr, store, "lag", 0)
+    store.compact()
 
 
 @faults.register("store_link")
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -39,6 +39,8 @@
         self.revision = 10
         self.kept_from = 0
         self.calls = []
+        self.lag = 0
+        """How many changes serializable reads are behind."""
         self.failure = None
         """``busy``, ``silent`` or a key of ``GARBLED``; ``None`` while the store is well."""
         self._page_size = page_size
@@ -92,14 +94,30 @@
         self.calls.append(("range", query.prefix))
         if (failed := self._fail()) is not None:
             return failed
-        keys = sorted(k for k in self.items if k.startswith(query.prefix) and k > query.after)
+        revision = self.revision - (self.lag if query.serializable else 0)
+        items = self._items_at(revision)
+        keys = sorted(k for k in items if k.startswith(query.prefix) and k > query.after)
         page = keys[: self._page_size]
         return {
-            "items": [self.items[key] for key in page],
+            "items": [items[key] for key in page],
             "has-more": len(keys) > len(page),
-            "current-rev": self.revision,
+            "current-rev": revision,
         }
 
+    def _items_at(self, revision: int) -> dict[str, dict[str, Any]]:
+        """Return what the store held at *revision*."""
+        if revision >= self.revision:
+            return self.items
+        items: dict[str, dict[str, Any]] = {}
+        for event in self.history:
+            if event["revision"] > revision:
+                break
+            if event.get("tombstone"):
+                items.pop(event["key"], None)
+            else:
+                items[event["key"]] = event
+        return items
+
     def _watch(self) -> bottle.HTTPResponse | dict[str, Any]:
         query = bottle.request.query
         self.calls.append(("watch", int(query.after)))
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -271,3 +271,27 @@
         gevent.sleep(0.02)
         feed.stop()
         assert slow.hung_up.wait(PATIENCE_S)
+
+
+def test_changes_that_go_on_gather_for_longer_and_a_single_one_is_followed_soon(clock):
+    feed, _ = make_feed(clock)
+    pauses = []
+    for _ in range(12):
+        pauses.append(feed._pause_after_change())
+        clock.now += 0.3
+    assert pauses[0] == feed_module.COALESCE_S
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == feed_module.LONGEST_COALESCE_S
+    clock.now += feed_module.SUCCESSION_S
+    assert feed._pause_after_change() == feed_module.COALESCE_S
+
+
+def test_followers_read_the_copy_when_the_stores_history_is_gone(clock):
+    readers = OneReader()
+    feed, catalog = make_feed(clock, Facts(servers("a"), 5), GONE, readers=readers)
+    copy = ScriptedStore(GONE, Facts(servers("b"), 9))
+    feed._store.copies = {readers.address: copy}
+    feed.step()
+    feed.step()
+    assert ids(catalog) == ["b"]
+    assert readers.failures == []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -95,3 +95,26 @@
 def test_a_value_that_is_not_base64_names_no_server(standin, client):
     standin.items["servers/i-1"] = {"key": "servers/i-1", "value": "é", "revision": 11}
     assert client.read().facts == (ServerGone("i-1", is_unreadable=True),)
+
+
+def test_a_read_that_lags_is_brought_up_to_date(standin, client):
+    fill(standin, 3)
+    standin.delete("servers/i-1")
+    standin.put("op/evacuate/north", {})
+    standin.lag = 2
+    told = client.read()
+    assert told.revision == standin.revision
+    assert told.facts[-2:] == (ServerGone("i-1"), DomainFact("north", True))
+    assert sorted(client.mirror._items) == sorted(standin.items)
+    assert standin.calls[-1] == ("watch", standin.revision - 2)
+
+
+def test_a_read_that_lags_behind_the_history_is_made_again(standin, client):
+    fill(standin, 3)
+    standin.delete("servers/i-1")
+    standin.lag = 1
+    standin.compact()
+    standin.put("servers/i-9", {})
+    told = client.read()
+    assert told.revision == standin.revision
+    assert sorted(client.mirror._items) == sorted(standin.items)
