--- a/marigoldwalk/gateway/feed.py
+++ b/marigoldwalk/gateway/feed.py
@@ -35,6 +35,10 @@
 COALESCE_GROWTH = 1.4
 SUCCESSION_S = 1.0
 """Time after a change in which the next one counts as following it."""
+FIRST_COALESCE_S = 0.5
+SETTLING_S = 3.0
+"""Time after its start in which a daemon lets changes gather for ``FIRST_COALESCE_S``: until gossip
+has found the readers, every daemon watches the store itself."""
 FIRST_BACKOFF_S = 0.3
 LAST_BACKOFF_S = 1.5
 """Longest pause between tries; recovery must be noticed well within the stability time."""
@@ -70,6 +74,7 @@
         self._is_read = False
         self._backoff_s = FIRST_BACKOFF_S
         self._coalesce_s = COALESCE_S
+        self._born_at = now()
         self._changed_at = float("-inf")
         self._greenlet: gevent.Greenlet | None = None
 
@@ -186,6 +191,8 @@
         else:
             self._coalesce_s = COALESCE_S
         self._changed_at = now
+        if now - self._born_at < SETTLING_S:
+            return FIRST_COALESCE_S
         return self._coalesce_s
 
     def _back_off(self) -> None:
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -22,18 +22,23 @@
 
 SUSPECT_AFTER_S = 5.0
 """Silence after which a member is suspected: twice what news takes through 75 members."""
-DEAD_AFTER_S = 8.0
-"""Silence after which a member counts as gone, twice the stability time of the platform."""
+FAR_SUSPECT_AFTER_S = 10.0
+"""The same for members of other failure domains, which are told of less often; carriers and readers
+there are the second choice only."""
+DEAD_AFTER_S = 3.0
+"""Further silence after which a suspected member counts as gone."""
 FORGET_AFTER_S = 25.0
 """Silence after which a member is forgotten: longer than a machine is cut off or frozen."""
 FANOUT = 2
 """Members that each round of gossip is told to."""
 REMOTE_EVERY = 4
 """Rounds of which one goes to another failure domain, where bytes are priced."""
-MAX_MEMBERS_TOLD = 40
-"""Members in one datagram within a failure domain, some five kilobytes."""
-MAX_MEMBERS_TOLD_FAR = 12
-"""Members in one datagram to another failure domain, which fit into one packet."""
+REMOTE_ROUNDS = 2
+"""Such rounds a second and failure domain that are enough, however many members it has."""
+NEAR_TOLD = (22, 25)
+"""Members of the own failure domain and of others in one datagram within it, 3.5 kB."""
+FAR_TOLD = (14, 2)
+"""The same in one to another failure domain, which fits into one packet."""
 STRONG_SHARE = 0.5
 """Part of the strongest member's processor time from which a member counts as strong."""
 UNKNOWN_MEMBERS = 8
@@ -70,13 +75,14 @@
     report: MemberReport
     heard_at: float
     """When its heartbeat last rose."""
+    suspect_after_s: float = SUSPECT_AFTER_S
 
     def state(self, now: float) -> MemberState:
         """Return what is believed of the member at *now*."""
         silence_s = now - self.heard_at
-        if silence_s >= DEAD_AFTER_S:
+        if silence_s >= self.suspect_after_s + DEAD_AFTER_S:
             return MemberState.DEAD
-        return MemberState.SUSPECT if silence_s >= SUSPECT_AFTER_S else MemberState.ALIVE
+        return MemberState.SUSPECT if silence_s >= self.suspect_after_s else MemberState.ALIVE
 
 
 def strong_members(reports: Iterable[MemberReport]) -> list[MemberReport]:
@@ -140,9 +146,13 @@
     def reports(self, now: float, is_far: bool = False) -> list[MemberReport]:
         """Return what to tell: this daemon first, then members that live, others each round."""
         key = f"{self.own.name}:{self._round}"
-        live = sorted(self.alive(now), key=lambda row: stable_hash(key, row.report.name))
-        count = MAX_MEMBERS_TOLD_FAR if is_far else MAX_MEMBERS_TOLD
-        return [self.own, *(row.report for row in live[: count - 1])]
+        live = [row.report for row in self.alive(now)]
+        live.sort(key=lambda report: stable_hash(key, report.name))
+        own = [report for report in live if report.domain == self.own.domain]
+        others = [report for report in live if report.domain != self.own.domain]
+        # Each domain learns of another one from there; its own members come first at home too.
+        own_count, other_count = FAR_TOLD if is_far else NEAR_TOLD
+        return [self.own, *own[: own_count - 1], *others[:other_count]]
 
     def is_far(self, address: Address) -> bool:
         """Return whether *address* is not known to be in the own failure domain."""
@@ -175,7 +185,9 @@
     def _hear_one(self, report: MemberReport, now: float) -> None:
         row = self._rows.get(report.name)
         if row is None:
-            self._rows[report.name] = MemberRow(report, now)
+            is_near = report.domain == self.own.domain
+            patience_s = SUSPECT_AFTER_S if is_near else FAR_SUSPECT_AFTER_S
+            self._rows[report.name] = MemberRow(report, now, patience_s)
         elif _order(report) > _order(row.report):
             row.report = report
             row.heard_at = now
@@ -190,7 +202,8 @@
         near = {r.report.address for r in live if r.report.domain == self.own.domain}
         far = {r.report.address for r in live} - near
         silent = {row.report.address for row in self._rows.values()} - near - far
-        is_remote_round = self._round % REMOTE_EVERY == 0
+        every = max(REMOTE_EVERY, len(near) // REMOTE_ROUNDS)
+        is_remote_round = (self._round + stable_hash(self.own.name)) % every == 0
         chosen = self._pick(near, FANOUT)
         if is_remote_round or len(chosen) < FANOUT:
             chosen += self._pick(far, FANOUT - len(chosen) or 1)
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -51,12 +51,19 @@
 
 
 def choose_server(
-    rows: Iterable[ServerRow], own_domain: str, tried: Collection[str], room: int, now: float
+    rows: Iterable[ServerRow],
+    own_domain: str,
+    tried: Collection[str],
+    room: int,
+    now: float,
+    is_wary: bool = False,
 ) -> ServerRow | NoServer:
     """Return the server that should answer first.
 
     *tried* names servers that are left out, and *room* is how many open attempts one server may
-    have from this daemon. The reason is returned if there is no such server.
+    have from this daemon. *is_wary* is for the last attempt that a task has: a server whose latest
+    answer was slow is passed over although that may have been a pause. The reason is returned if
+    there is no such server.
     """
     best: ServerRow | None = None
     best_cost = 0.0
@@ -68,16 +75,16 @@
         if len(row.open_attempts) >= room:
             refusal = ALL_BUSY
             continue
-        cost = cost_of(row, own_domain, now)
+        cost = cost_of(row, own_domain, now, is_wary)
         if best is None or cost < best_cost:
             best, best_cost = row, cost
     return best or refusal
 
 
-def cost_of(row: ServerRow, own_domain: str, now: float) -> float:
+def cost_of(row: ServerRow, own_domain: str, now: float, is_wary: bool = False) -> float:
     """Return the expected time of an answer, in usual latencies of the route."""
     queue = len(row.open_attempts) / max(row.registration.slots, 1)
-    cost = row.relative_latency(now) * (1.0 + QUEUE_FACTOR * queue)
+    cost = row.relative_latency(now, is_wary) * (1.0 + QUEUE_FACTOR * queue)
     if row.registration.domain != own_domain:
         cost *= REMOTE_FACTOR
     if row.idle_connections == 0:
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -123,7 +123,7 @@
     """Return the server for a second attempt, or why there should be none now."""
     if not _can_still_help(world, task):
         return TOO_LATE
-    chosen = _choose(world, task, task.avoided | task.ran_on)
+    chosen = _choose(world, task, task.avoided | task.ran_on, is_wary=True)
     if not isinstance(chosen, ServerRow):
         return chosen
     if cost_of(chosen, world.domain, world.now) >= STALL_FACTOR:
@@ -163,7 +163,9 @@
     return max(1, min(share, slots + EXTRA_OPEN))
 
 
-def _choose(world: RoutingWorld, task: Task, avoided: set[str]) -> ServerRow | NoServer:
+def _choose(
+    world: RoutingWorld, task: Task, avoided: set[str], is_wary: bool = False
+) -> ServerRow | NoServer:
     service = world.catalog.service(task.service)
     share = world.share(task.service)
     rows = [
@@ -172,7 +174,7 @@
         if world.cold.allows(row, service, share, world.now)
     ]
     room = open_attempts_limit(world, task, rows[0].registration.slots) if rows else 1
-    return choose_server(rows, world.domain, avoided, room, world.now)
+    return choose_server(rows, world.domain, avoided, room, world.now, is_wary)
 
 
 def _spend(world: RoutingWorld, task: Task) -> bool:
@@ -219,6 +221,8 @@
     hedge_s = min(HEDGE_AFTER_HIGH * high_s, HEDGE_TARGET_SHARE * exchange.route.target_s)
     attempt = Attempt(world.next_attempt_number(), task, row, world.now)
     world.cold.note(row, world.now)
+    is_near = row.registration.domain == world.domain
+    world.counters["send.own_domain" if is_near else "send.other_domain"] += 1
     task.sends += 1
     task.state = TaskState.SENT
     task.open_attempts.append(attempt)
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -67,10 +67,14 @@
         """Where the server is reached."""
         return self.registration.address
 
-    def relative_latency(self, now: float) -> float:
-        """Return how much slower than usual the server is believed to answer."""
+    def relative_latency(self, now: float, is_wary: bool = False) -> float:
+        """Return how much slower than usual the server is believed to answer.
+
+        *is_wary* takes the latest answers for granted, although a pause may have delayed them.
+        """
         forgotten = 0.5 ** ((now - self.latency_at) / LATENCY_HALF_LIFE_S)
-        return 1.0 + (self.latency_ratio - 1.0) * forgotten
+        ratio = max(self.latency_ratio, self.lowest_ratios[1]) if is_wary else self.latency_ratio
+        return 1.0 + (ratio - 1.0) * forgotten
 
     def note_latency(self, ratio: float, sent_at: float, now: float) -> None:
         """Take an answer's latency, relative to what is usual for its route, into account.
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -275,6 +275,8 @@
 
 def test_changes_that_go_on_gather_for_longer_and_a_single_one_is_followed_soon(clock):
     feed, _ = make_feed(clock)
+    assert feed._pause_after_change() == feed_module.FIRST_COALESCE_S
+    clock.now += feed_module.SETTLING_S
     pauses = []
     for _ in range(12):
         pauses.append(feed._pause_after_change())
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -11,7 +11,10 @@
 class Fleet:
     """Daemons that gossip once a second in virtual time."""
 
-    def __init__(self, count, seeds=(0, 1, 2), loss=0.05, seed=1):
+    def __init__(self, count, seeds=(0, 1, 2), loss=0.05, seed=1, domains=1):
+        self.domains = domains
+        self.sent = 0
+        self.sent_far = 0
         self.now = 1000.0
         self.random = random.Random(seed)
         self.loss = loss
@@ -30,7 +33,8 @@
 
     def start(self, number):
         self.incarnation += 1
-        own = MemberReport(f"m-{number}", self.address(number), self.incarnation, 0)
+        domain = f"d-{number % self.domains}"
+        own = MemberReport(f"m-{number}", self.address(number), self.incarnation, 0, domain)
         self.daemons[number] = Membership(own, self.seeds, self.now)
 
     def run(self, seconds):
@@ -42,8 +46,11 @@
 
     def _round(self, number, daemon):
         targets = daemon.next_round(self.now)
-        reports = daemon.reports(self.now)
         for target in targets:
+            is_far = daemon.is_far(target)
+            reports = daemon.reports(self.now, is_far)
+            self.sent += 1
+            self.sent_far += is_far
             other = int(target.host.rpartition(".")[2]) - 1
             is_cut = (number in self.cut) != (other in self.cut)
             lost = self.random.random() < self.loss
@@ -155,3 +162,22 @@
     row = next(r for r in fleet.daemons[0].rows() if r.report.name == "m-3")
     assert row.report.incarnation > 5000
     assert row.state(fleet.now) is MemberState.ALIVE
+
+
+@pytest.mark.parametrize(("count", "domains"), [(75, 3), (66, 4), (9, 3)])
+def test_a_fleet_tells_little_across_domains_and_suspects_few_falsely(count, domains):
+    fleet = Fleet(count, domains=domains)
+    fleet.run(40)
+    assert fleet.counts() == [count] * count
+    fleet.sent_far = 0
+    suspected = 0
+    for _ in range(30):
+        fleet.run(1)
+        suspected += sum(
+            row.state(fleet.now) is not MemberState.ALIVE
+            for daemon in fleet.daemons.values()
+            for row in daemon.rows()
+        )
+    # Each domain tells the others about twice a second, and a seed or a silent member as often.
+    assert fleet.sent_far / 30 <= domains * 4 * 1.25
+    assert suspected <= 0.01 * 30 * count * count
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -93,3 +93,10 @@
     for ratio, sent_at, answered_at in answers(7.0, 7.0):
         near.note_latency(ratio, sent_at, answered_at)
     assert chosen(near, row("far", domain="south")) == "far"
+
+
+def test_a_last_attempt_passes_over_a_server_whose_latest_answer_was_slow():
+    paused, other = row("paused"), row("other", domain="south")
+    paused.note_latency(7.0, NOW - 0.2, NOW)
+    assert choose_server([paused, other], "north", (), 4, NOW) is paused
+    assert choose_server([paused, other], "north", (), 4, NOW, is_wary=True) is other
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -230,3 +230,20 @@
     assert simulation.abandoned == []
     simulation.run(0.6)
     assert len(simulation.abandoned) == 2
+
+
+def test_a_shard_with_two_slow_copies_is_answered_from_the_second_query_on():
+    slow = (0.5, part())
+    servers = {
+        "a": ("s-0", "north", slow),
+        "b": ("s-0", "south", slow),
+        "c": ("s-0", "west", FAST),
+        "d": ("s-1", "north", FAST),
+    }
+    # Of two copies in other domains, "b" comes first among equals.
+    simulation = Simulation([gather_route(["s-0", "s-1"], 0.5)], servers)
+    for number in range(3):
+        simulation.ask("/all/1", f"q-{number}")
+        simulation.run(1.0)
+    missing = [simulation.answers[f"q-{number}"].missing_count for number in range(3)]
+    assert missing == [1, 0, 0]
