--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -1,4 +1,4 @@
-"""Seeds that failed once, each with its cause; ``python -m soak --regressions`` plays them again."""
+"""Seeds that failed once, each with its cause; ``--regressions`` plays them again."""
 
 from __future__ import annotations
 
