Ignore SIGHUP while the program is being loaded

A reload signal came between the start of the process and the installation of its handlers, some 0.4 s later, and ended it with status -1. Ruled out: a fault in reload() (nothing of the second process was logged before its end).

--- a/marigoldwalk/platform/__main__.py
+++ b/marigoldwalk/platform/__main__.py
@@ -1,50 +1,13 @@
-"""Runs a gateway daemon on the platform."""
+"""``python -m marigoldwalk.platform`` runs a gateway daemon on the platform."""
 
 from __future__ import annotations
 
-import os
+import signal
 import sys
-from pathlib import Path
-from typing import TYPE_CHECKING
-
-from ..errors import MarigoldwalkError
-from ..gateway.application import Gateway, serve
-from ..gateway.settings import read_gateway_settings
-from .headers import PlatformHeaders
-from .mirror import Mirror
-from .store import StoreClient
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    import bottle
-
-    from ..gateway.settings import GatewaySettings
-
-SETTINGS_VARIABLE = "MARIGOLDWALK_BOOT"
-"""Names the settings file, which the platform fills in from ``deploy/settings.yaml``."""
-
-
-def make_gateway(settings: GatewaySettings) -> Gateway:
-    """Return a gateway daemon that speaks to the platform."""
-
-    def open_store(is_fresh: Callable[[], bool]) -> tuple[StoreClient, bottle.Bottle]:
-        mirror = Mirror(is_fresh)
-        return StoreClient(settings.store_address, mirror), mirror.app
-
-    return Gateway(settings, PlatformHeaders(), open_store)
-
-
-def main() -> int:
-    """Run the daemon until it is told to stop; returns the exit status."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, "settings.yaml"))
-    try:
-        settings = read_gateway_settings(path)
-        return serve(lambda: make_gateway(settings), settings.name, settings.log_level)
-    except MarigoldwalkError as exc:
-        print(f"{exc.code.name} ({exc.code.value}): {exc}", file=sys.stderr)
-        return 2
-
 
 if __name__ == "__main__":
+    # SIGHUP asks for a reload and must not end a process that is still being loaded.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .program import main
+
     sys.exit(main())
--- a/tests/gateway/daemons.py
+++ b/tests/gateway/daemons.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from marigoldwalk.gateway.settings import parse_gateway_settings
-from marigoldwalk.platform.__main__ import make_gateway
+from marigoldwalk.platform.program import make_gateway
 from standins.users_platform import (
     StandinServer,
     StandinStore,
