--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -102,6 +102,8 @@
     open_attempts: list[Attempt] = field(default_factory=list)
     ran_on: set[str] = field(default_factory=set)
     """Servers on which the request may have run."""
+    run_count: int = 0
+    """Sends after which it may have run, several to one server among them."""
     avoided: set[str] = field(default_factory=set)
     """Servers that this task is not sent to, or not at the moment."""
     reply: ServerReply | None = None
@@ -133,6 +135,12 @@
         self.failure = self.failure or reason
         self.exchange.failed_count += 1
 
+    def note_not_run(self, server_id: str) -> None:
+        """Take back a send to a server that did not run it, and leave that server out for now."""
+        self.ran_on.discard(server_id)
+        self.run_count -= 1
+        self.avoided.add(server_id)
+
     def hedge_from(self, time: float) -> None:
         """Consider a second attempt at *time*."""
         self.hedge_at = time
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -49,8 +49,7 @@
         row.note_failure(world.now)
     task = attempt.task
     if not lost.may_have_run:
-        task.ran_on.discard(row.server_id)
-        task.avoided.add(row.server_id)
+        task.note_not_run(row.server_id)
     if task.is_over or task.open_attempts:
         return
     if lost.may_have_run and not task.exchange.route.idempotent:
@@ -107,8 +106,7 @@
 
 def _take_not_run(world: RoutingWorld, attempt: Attempt) -> None:
     task = attempt.task
-    task.ran_on.discard(attempt.row.server_id)
-    task.avoided.add(attempt.row.server_id)
+    task.note_not_run(attempt.row.server_id)
     if not task.open_attempts:
         retry(world, task)
 
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -83,7 +83,7 @@
     task.state = TaskState.WAITING
     if world.suspects.is_refused(task.exchange.request.fingerprint, world.now):
         task.fail("the request crashes servers")
-    elif len(task.ran_on) >= route.max_attempts:
+    elif task.run_count >= route.max_attempts:
         task.fail("attempts are used up")
     elif not arrived or _spend(world, task):
         world.counters["retry.sent"] += 1
@@ -102,7 +102,7 @@
         return
     route = task.exchange.route
     is_alone = len(task.open_attempts) == 1
-    if not is_alone or not route.idempotent or len(task.ran_on) >= route.max_attempts:
+    if not is_alone or not route.idempotent or task.run_count >= route.max_attempts:
         task.hedge_at = float("inf")
         return
     task.hedge_from(world.now + HEDGE_RECHECK_S)
@@ -227,6 +227,7 @@
     task.state = TaskState.SENT
     task.open_attempts.append(attempt)
     task.ran_on.add(row.server_id)
+    task.run_count += 1
     task.hedge_from(world.now + hedge_s)
     row.open_attempts[attempt.number] = world.now + STALL_AFTER_HIGH * high_s
     world.actions.append(Send(attempt, exchange.give_up_at - world.now))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 from marigoldwalk.config.view import Address
+from standins.listener import reserve_port
 
 from .journal import Arrival, Reply
 from .relay import LOOPBACK, Relay
@@ -94,7 +95,9 @@
 
     def __post_init__(self) -> None:
         """Open the relay, whose port stays the same over restarts."""
-        self.relay = Relay(Address(LOOPBACK, 0))
+        # Held while the server is down, so that nobody else's server answers in its place.
+        self._guard = reserve_port()
+        self.relay = Relay(Address(*self._guard.getsockname()))
         self.start(is_cold=False)
 
     @property
@@ -108,9 +111,8 @@
         self.mode = Mode.WELL
         self.is_draining = False
         self.cold_until = self.now() + COLD_S if is_cold else 0.0
-        self._listener = StreamServer((LOOPBACK, 0), self._serve)
+        self._listener = StreamServer(self._guard.getsockname(), self._serve)
         self._listener.start()
-        self.relay.target = Address(LOOPBACK, self._listener.server_port)
 
     def crash(self) -> None:
         """End at once; open connections are reset and new ones refused by the relay."""
@@ -123,6 +125,7 @@
         if self.is_up:
             self.crash()
         self.relay.stop()
+        self._guard.close()
 
     def record(self) -> dict[str, object]:
         """Return the record by which the server registers."""
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -247,3 +247,11 @@
         simulation.run(1.0)
     missing = [simulation.answers[f"q-{number}"].missing_count for number in range(3)]
     assert missing == [1, 0, 0]
+
+
+def test_sends_to_the_same_server_count_as_attempts_too():
+    simulation = pair([(0.002, RESET)], [(0.002, RESET)], max_attempts=3)
+    simulation.ask()
+    simulation.run(1.0)
+    assert len(simulation.sent) == 3
+    assert simulation.answers["q-1"].status == 502
