Give requests that must not be repeated connections of their own

Cause: backend servers may forget connections that rested 300 ms, while up to 1 s was trusted; what is sent on such a one is reset and ends with 502, as it may have run.

--- a/marigoldwalk/gateway/carrying.py
+++ b/marigoldwalk/gateway/carrying.py
@@ -103,7 +103,7 @@
         request = exchange.request
         elapsed_ms = (now - request.received_at + HOP_S) * 1000
         row = self._carriers.setdefault(carrier.address, _Carrier(carrier.address))
-        channel = self._links.take(row, request.request_id, proven=False)
+        channel = self._links.take(row, request.request_id)
         result: AsyncResult = AsyncResult()
         headers = [
             (ELAPSED_HEADER, f"{elapsed_ms:.1f}"),
--- a/marigoldwalk/gateway/links.py
+++ b/marigoldwalk/gateway/links.py
@@ -12,10 +12,6 @@
 
     from ..config.view import Address
 
-PROVEN_IDLE_S = 1.0
-"""Idle time up to which a connection is trusted with a request that may not be repeated; servers
-may close idle connections without notice, and what is sent on such a one may or may not run."""
-
 
 class Endpoint(Protocol):
     """Whatever connections are kept to: a backend server, or a daemon that carries queries."""
@@ -35,18 +31,18 @@
         self._counters = counters
         self._idle: dict[Endpoint, list[Channel]] = {}
 
-    def take(self, row: Endpoint, request_id: str, proven: bool) -> Channel:
+    def take(self, row: Endpoint, request_id: str, may_reuse: bool = True) -> Channel:
         """Return a connection to *row*, a new one if no idle one will do.
 
         A connection that last carried *request_id* is not taken, since a late copy of that
-        response could not be told from the new one. *proven* asks for one that was in use a
-        moment ago.
+        response could not be told from the new one. A request that must not be repeated needs a
+        new one: servers may forget idle connections without notice, and what is sent on such a one
+        may or may not have run.
         """
-        idle = self._idle.get(row, [])
-        limit_s = PROVEN_IDLE_S if proven else float("inf")
+        idle = self._idle.get(row, []) if may_reuse else []
         for index in range(len(idle) - 1, -1, -1):
             channel = idle[index]
-            if not self._may_reuse(channel, request_id, limit_s):
+            if not self._may_carry(channel, request_id):
                 continue
             del idle[index]
             row.idle_connections = len(idle)
@@ -86,11 +82,9 @@
                 channel.close()
         self._idle.clear()
 
-    def _may_reuse(self, channel: Channel, request_id: str, limit_s: float) -> bool:
+    def _may_carry(self, channel: Channel, request_id: str) -> bool:
         idle_s = self._now() - channel.idle_since
-        return channel.last_request_id != request_id and idle_s < min(
-            channel.idle_timeout_s, limit_s
-        )
+        return channel.last_request_id != request_id and idle_s < channel.idle_timeout_s
 
     def _forget(self, row: Endpoint, channel: Channel) -> None:
         self._counters["connection.closed_idle"] += 1
--- a/marigoldwalk/gateway/performer.py
+++ b/marigoldwalk/gateway/performer.py
@@ -98,7 +98,7 @@
         request_id = exchange.request.request_id
         headers = self._dialect.attempt_headers(action.deadline_s, row.server_id)
         data = b"".join((call.head, header_lines(headers), b"\r\n", call.body))
-        channel = self._links.take(row, request_id, proven=not exchange.route.idempotent)
+        channel = self._links.take(row, request_id, may_reuse=exchange.route.idempotent)
         self._channels[attempt] = channel
         channel.request(
             data,
