Let gossip's times grow with the fleet, and welcome daemons that know few others

In virtual time 300 daemons knew 8 of each other after 10 rounds and 283 after 60, and suspected 24% of near members falsely, as a datagram tells of 47 at most. Ruled out: more members in a datagram, which is bound by the bytes a second that a daemon may spend on control. Nothing changes for fleets of 75 and less but the welcome.

--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -54,7 +54,7 @@
             "servers": len(catalog.rows),
             "excluded_domains": sorted(catalog.excluded_domains),
             "members": [
-                {"name": row.report.name, "state": row.state(now).value}
+                {"name": row.report.name, "state": row.state(now, self._membership.slowness).value}
                 for row in self._membership.rows()
             ],
             "carriers": sorted(self._delegation.carriers),
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -105,8 +105,11 @@
             if told is None:
                 self._counters["gossip.malformed"] += 1
                 continue
-            self._membership.hear(told.reports, self._now())
-            self._suspects.hear(told.evidence, self._now())
+            now = self._now()
+            self._suspects.hear(told.evidence, now)
+            if self._membership.hear(told.reports, now):
+                answer = encode(self._membership.reports(now), self._suspects.evidence(now))
+                self._send(answer, told.reports[0].address)
             self._note_count()
 
     def _note_count(self) -> None:
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -16,7 +16,7 @@
 from ..util.hashing import stable_hash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from ..config.view import Address
 
@@ -29,8 +29,13 @@
 """Further silence after which a suspected member counts as gone."""
 FORGET_AFTER_S = 25.0
 """Silence after which a member is forgotten: longer than a machine is cut off or frozen."""
+TUNED_MEMBERS = 75
+"""Members up to which these times hold. A datagram tells of a bounded number of members, so in a
+larger fleet news takes longer in proportion, and so do they."""
 FANOUT = 2
 """Members that each round of gossip is told to."""
+FEW_MEMBERS = 8
+"""Members in a datagram up to which its sender is taken to know few."""
 REMOTE_EVERY = 4
 """Rounds of which one goes to another failure domain, where bytes are priced."""
 REMOTE_ROUNDS = 2
@@ -77,9 +82,12 @@
     """When its heartbeat last rose."""
     suspect_after_s: float = SUSPECT_AFTER_S
 
-    def state(self, now: float) -> MemberState:
-        """Return what is believed of the member at *now*."""
-        silence_s = now - self.heard_at
+    def state(self, now: float, slowness: float = 1.0) -> MemberState:
+        """Return what is believed of the member at *now*.
+
+        *slowness* is how much longer than usual news takes in the fleet.
+        """
+        silence_s = (now - self.heard_at) / slowness
         if silence_s >= self.suspect_after_s + DEAD_AFTER_S:
             return MemberState.DEAD
         return MemberState.SUSPECT if silence_s >= self.suspect_after_s else MemberState.ALIVE
@@ -125,7 +133,13 @@
 
     def alive(self, now: float) -> list[MemberRow]:
         """Return the other members that are not silent."""
-        return [row for row in self._rows.values() if row.state(now) is MemberState.ALIVE]
+        slowness = self.slowness
+        return [row for row in self._rows.values() if row.state(now, slowness) is MemberState.ALIVE]
+
+    @property
+    def slowness(self) -> float:
+        """How much longer than usual news takes in a fleet of this size."""
+        return max(1.0, len(self._rows) / TUNED_MEMBERS)
 
     def next_round(self, now: float) -> list[Address]:
         """Count the own heartbeat up and return whom to tell this time.
@@ -165,13 +179,24 @@
         """Tell from now on that this daemon is stopping."""
         self.own = replace(self.own, is_leaving=True)
 
-    def hear(self, reports: Iterable[MemberReport], now: float) -> None:
-        """Take in what another daemon tells."""
+    def hear(self, reports: Sequence[MemberReport], now: float) -> bool:
+        """Take in what another daemon tells; returns whether it should be welcomed.
+
+        A sender that is new here and knows few others gets an answer with members at once, so that
+        a fleet that starts together is not held up by the few daemons that seeds name.
+        """
+        is_welcome = 0 < len(reports) <= FEW_MEMBERS and self._is_new(reports[0])
         for report in reports:
             if report.name == self.own.name:
                 self._outdo(report)
             else:
                 self._hear_one(report, now)
+        return is_welcome
+
+    def _is_new(self, report: MemberReport) -> bool:
+        known = self._rows.get(report.name)
+        is_own = report.name == self.own.name
+        return not is_own and (known is None or known.report.incarnation < report.incarnation)
 
     def _outdo(self, report: MemberReport) -> None:
         """Take an incarnation above one that others know of this daemon.
@@ -194,7 +219,7 @@
 
     def _forget(self, now: float) -> None:
         for name, row in list(self._rows.items()):
-            if now - row.heard_at >= FORGET_AFTER_S:
+            if now - row.heard_at >= FORGET_AFTER_S * self.slowness:
                 del self._rows[name]
 
     def _targets(self, now: float) -> list[Address]:
