--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -43,6 +43,7 @@
 
 
 UNREGISTERED = NoServer("unregistered", "no server is registered")
+NONE_USABLE = NoServer("none_usable", "every server drains, is cold or is out of service")
 ALL_BUSY = NoServer("all_busy", "every server has as many attempts as this daemon may send it")
 ALL_TRIED = NoServer("all_tried", "every server was tried")
 ALL_STALLED = NoServer("all_stalled", "every other server would take as long")
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -10,6 +10,7 @@
     ALL_STALLED,
     ALL_TRIED,
     BUDGET_SCARCE,
+    NONE_USABLE,
     STALL_FACTOR,
     TOO_LATE,
     choose_server,
@@ -174,6 +175,8 @@
         if world.cold.allows(row, service, share, world.now)
     ]
     room = open_attempts_limit(world, task, rows[0].registration.slots) if rows else 1
+    if not rows and world.catalog.registered(task.service):
+        return NONE_USABLE
     return choose_server(rows, world.domain, avoided, room, world.now, is_wary)
 
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -255,3 +255,11 @@
     simulation.run(1.0)
     assert len(simulation.sent) == 3
     assert simulation.answers["q-1"].status == 502
+
+
+def test_a_service_whose_domains_are_all_out_of_service_is_told_from_one_without_servers():
+    simulation = pair([FAST], [FAST])
+    simulation.world.catalog.exclude({"north", "south"})
+    exchange = simulation.ask()
+    assert simulation.answers["q-1"].status == 503
+    assert exchange.tasks[0].failure == "every server drains, is cold or is out of service"
