--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,8 @@
 from .run import RunOptions, run_seed
 
 MAX_PRINTED = 8
+MAX_CALLERS = 16
+"""Callers that the harness, one process for all stand-ins, can serve beside a large fleet."""
 
 app = App(name="soak", help="Run real gateway daemons under randomized faults.")
 
@@ -33,7 +35,7 @@
     if fresh:
         first = int(time.time())
     seeds = list(REGRESSIONS) if regressions else range(first, first + count)
-    options = RunOptions(daemons=daemons, callers=2 * daemons, faults_s=faults_s)
+    options = RunOptions(daemons=daemons, callers=min(2 * daemons, MAX_CALLERS), faults_s=faults_s)
     failed = False
     for seed in seeds:
         result = run_seed(seed, options)
