--- a/tests/core/test_servers.py
+++ b/tests/core/test_servers.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from .fleet import FleetDriver, Network
+from .scenario import Scenario
 from .seeding import seeded
 from .views import SERVICES, SLOTS, make_view
 
@@ -33,37 +34,20 @@
 )
 
 
-class Scenario:
+class ServerScenario(Scenario):
     """Bursts of queries while servers and homes change."""
 
     def __init__(self, seed: int) -> None:
         self.fleet = FleetDriver(DAEMONS, seed=seed, network=Network(jitter_s=0.001))
         self.fleet.run(2.0)
 
-    def run(self, scenario: list) -> None:
-        for delay_s, (kind, argument) in scenario:
-            self.fleet.run(delay_s)
-            getattr(self, kind)(argument)
-        self.fleet.run(2.0)
-
-    def _server(self, number: int):
-        return self.fleet.servers[sorted(self.fleet.servers)[number]]
-
     def burst(self, name: str) -> None:
         for other in [name, *NAMES, name]:
             self.fleet.ask(other)
 
-    def crash(self, number: int) -> None:
-        if self._server(number).up:
-            self.fleet.crash_server(self._server(number).name)
-
     def lie(self, number: int) -> None:
         self._server(number).lies = True
 
-    def slow(self, number: int) -> None:
-        server = self._server(number)
-        server.latency_s = 0.005 if server.latency_s > 0.1 else 0.2
-
     def kill(self, name: str) -> None:
         self.fleet.kill(name)
         self.fleet.after(0.5, lambda: self.fleet.start(name))
@@ -89,7 +73,7 @@
 @seeded(60)
 @given(scenarios, st.integers(0, 1000))
 def test_servers_bear_their_load(scenario, seed):
-    trial = Scenario(seed)
+    trial = ServerScenario(seed)
     trial.run(scenario)
     for server in trial.fleet.servers.values():
         assert server.peak <= SLOTS, server
--- a/tests/core/test_snapshots.py
+++ b/tests/core/test_snapshots.py
@@ -12,6 +12,7 @@
 from marigoldwalk.errors import Code
 
 from .fleet import FleetDriver, Network
+from .scenario import Scenario
 from .seeding import seeded
 from .views import SERVICES, best_hits, make_view
 
@@ -40,9 +41,11 @@
 )
 
 
-class Scenario:
+class SnapshotScenario(Scenario):
     """Runs steps against a fleet while index versions change."""
 
+    slow_s = 0.4
+
     def __init__(self, seed: int, coverage: str) -> None:
         network = Network(jitter_s=0.003, doubling_ratio=0.1, loss_ratio=0.01)
         self.fleet = FleetDriver(
@@ -50,15 +53,6 @@
         )
         self.fleet.run(2.0)
 
-    def run(self, scenario: list) -> None:
-        for delay_s, (kind, argument) in scenario:
-            self.fleet.run(delay_s)
-            getattr(self, kind)(argument)
-        self.fleet.run(2.0)
-
-    def _server(self, number: int):
-        return self.fleet.servers[sorted(self.fleet.servers)[number]]
-
     def ask(self, name: str) -> None:
         self.fleet.ask(name, "search")
 
@@ -71,14 +65,6 @@
         server = self._server(number)
         server.snapshots = server.snapshots[-1:]
 
-    def crash(self, number: int) -> None:
-        if self._server(number).up:
-            self.fleet.crash_server(self._server(number).name)
-
-    def slow(self, number: int) -> None:
-        server = self._server(number)
-        server.latency_s = 0.005 if server.latency_s > 0.1 else 0.4
-
     def drain(self, number: int) -> None:
         server = self._server(number)
         server.draining = not server.draining
@@ -124,7 +110,7 @@
 @seeded(60)
 @given(scenarios, st.integers(0, 1000), st.sampled_from(["wait", "diminishing"]))
 def test_answers_equal_a_direct_computation(scenario, seed, coverage):
-    trial = Scenario(seed, coverage)
+    trial = SnapshotScenario(seed, coverage)
     trial.run(scenario)
     for answer in trial.fleet.answers.values():
         check_answer(answer)
