--- /dev/null
+++ b/soak/promises/__init__.py
@@ -0,0 +1,8 @@
+"""The promises, checked against what callers and backend servers saw."""
+
+from __future__ import annotations
+
+from . import answers, changes, processes, sends  # noqa: F401 (they register)
+from .registry import UNTIMED, Violation, check_all
+
+__all__ = ["UNTIMED", "Violation", "check_all"]
--- /dev/null
+++ b/soak/promises/sends.py
@@ -0,0 +1,123 @@
+"""Promises about what backend servers get, however slow the machine is."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+from ..deployment import COLD_PER_S, MAX_ATTEMPTS
+from .registry import promises
+from .requests import is_once, may_go_to, prefix_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..journal import Journal
+
+# The bounds of the platform's pages.
+DEADLINE_SLACK_S = 0.5
+BUDGET_RATIO = 0.2
+BUDGET_WINDOW_S = 10.0
+BUDGET_SLACK = 52
+COLD_FACTOR = 1.5
+COLD_SLACK = 5
+
+
+@promises.register("nothing unasked")
+def nothing_unasked(journal: Journal) -> Iterator[tuple[float, str]]:
+    """Servers get only what callers sent."""
+    sent = {s.request_id: s for s in journal.sendings}
+    for arrival in journal.arrivals:
+        sending = sent.get(arrival.request_id)
+        if sending is None:
+            yield arrival.at, f"{arrival.request_id} was never sent"
+        elif (sending.method, sending.path, sending.body) != (
+            arrival.method,
+            arrival.path,
+            arrival.body,
+        ):
+            yield arrival.at, f"{arrival.request_id} arrived changed"
+
+
+@promises.register("runs once")
+def runs_once(journal: Journal) -> Iterator[tuple[float, str]]:
+    """A request that may not be repeated runs once at most."""
+    counts = Counter(a.request_id for a in journal.arrivals if a.ran and is_once(a.path))
+    for arrival in journal.arrivals:
+        if counts.pop(arrival.request_id, 0) > 1:
+            yield arrival.at, f"{arrival.request_id} ran more than once"
+
+
+@promises.register("right service")
+def right_service(journal: Journal) -> Iterator[tuple[float, str]]:
+    """A request runs only at services to which some version lets it go."""
+    for arrival in journal.arrivals:
+        allowed = {s for v in journal.versions for s in v.services.get(prefix_of(arrival.path), ())}
+        if arrival.ran and arrival.service not in allowed:
+            yield arrival.at, f"{arrival.path} ran at {arrival.service}"
+
+
+@promises.register("attempts")
+def attempts(journal: Journal) -> Iterator[tuple[float, str]]:
+    """A request runs on no more servers of a service than its route allows."""
+    ran_on: dict[tuple[str, str], set[str]] = defaultdict(set)
+    for arrival in journal.arrivals:
+        if arrival.ran:
+            ran_on[arrival.request_id, arrival.service].add(arrival.server_id)
+            if len(ran_on[arrival.request_id, arrival.service]) == MAX_ATTEMPTS + 1:
+                yield arrival.at, f"{arrival.request_id} ran on over {MAX_ATTEMPTS} servers"
+
+
+@promises.register("repeats")
+def repeats(journal: Journal) -> Iterator[tuple[float, str]]:
+    """Repeated sends to a service keep within the fleet's budget in every window."""
+    seen: set[tuple[str, str]] = set()
+    extra: dict[str, list[float]] = defaultdict(list)
+    for arrival in sorted(journal.arrivals, key=lambda a: a.at):
+        if (arrival.request_id, arrival.service) in seen:
+            extra[arrival.service].append(arrival.at)
+        seen.add((arrival.request_id, arrival.service))
+    for service, times in extra.items():
+        for index, end in enumerate(times):
+            start = end - BUDGET_WINDOW_S
+            count = sum(start < t <= end for t in times[: index + 1])
+            asked = sum(
+                start < s.sent_at <= end and may_go_to(journal, s, service)
+                for s in journal.sendings
+            )
+            if count > BUDGET_RATIO * asked + BUDGET_SLACK:
+                yield end, f"{service} got {count} repeats in {BUDGET_WINDOW_S} s for {asked}"
+                break
+
+
+@promises.register("time handed on")
+def time_handed_on(journal: Journal) -> Iterator[tuple[float, str]]:
+    """Servers are told no more time than the caller has left."""
+    sent = {s.request_id: s for s in journal.sendings}
+    for arrival in journal.arrivals:
+        sending = sent.get(arrival.request_id)
+        if sending is None:
+            continue
+        names = (sending.daemon, f"{arrival.service}/{arrival.domain}")
+        if not all(journal.is_calm(name, sending.sent_at, arrival.at) for name in names):
+            continue
+        left_s = sending.sent_at + sending.deadline_s - arrival.at
+        if not 0 < arrival.deadline_s <= left_s + DEADLINE_SLACK_S:
+            yield arrival.at, f"{arrival.request_id} was handed {arrival.deadline_s:.3f} s"
+
+
+@promises.register("cold servers")
+def cold_servers(journal: Journal) -> Iterator[tuple[float, str]]:
+    """A cold server gets no more than it bears in any second."""
+    by_server: dict[str, list[float]] = defaultdict(list)
+    for arrival in journal.arrivals:
+        if arrival.was_cold:
+            by_server[arrival.server_id].append(arrival.at)
+    bound = COLD_PER_S * COLD_FACTOR + COLD_SLACK
+    for server_id, times in by_server.items():
+        times.sort()
+        for index, end in enumerate(times):
+            count = sum(end - 1.0 < t <= end for t in times[: index + 1])
+            if count > bound:
+                yield end, f"{server_id} got {count} requests in a second while cold"
+                break
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from . import checks
+from . import promises
 from .callers import Caller
 from .daemons import Daemon
 from .deployment import DOMAINS, Deployment
@@ -21,8 +21,8 @@
 from .relay import LOOPBACK
 
 if TYPE_CHECKING:
-    from .checks import Violation
     from .plan import PlannedFault
+    from .promises import Violation
 
 CALM_S = 16.0
 """Time without faults at the end: that of recovery, and some seconds of service after it."""
@@ -91,7 +91,7 @@
         sum(s.is_success for s in journal.sendings),
         len(journal.arrivals),
         len(plan),
-        checks.check_all(journal),
+        promises.check_all(journal),
         folder,
     )
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_promises.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from soak.checks import BUDGET_SLACK, check_all
 from soak.journal import EVERYTHING, Arrival, Disturbance, Journal, Reply, Sending, Version
+from soak.promises import check_all
+from soak.promises.sends import BUDGET_SLACK
 from soak.servers import answer_body
 
 SHARDS = ("a-0", "a-1")
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.checks import UNTIMED
+from soak.promises import UNTIMED
 from soak.run import RunOptions, run_seed
 
 OPTIONS = RunOptions(daemons=3, callers=5, faults_s=6.0, calm_s=1.5)
