Drop what the soak does not use and call what stands already

Found by reading the whole change: fields that nothing read (a server's open sockets, when a run ended, whether a connection had been used), a server's name put together in three places, the grace time and the loopback address written again, and the reset of sockets, which standins.listener has. No check or bound changes; no code of the product does.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import gevent
 from gevent import socket as gevent_socket
 
+from standins.listener import LOOPBACK
+
 from .journal import Sending
-from .relay import LOOPBACK
 
 if TYPE_CHECKING:
     import random
@@ -44,8 +45,7 @@
     _sock: socket.socket | None = None
     _stream: BinaryIO | None = None
     _daemon: Daemon | None = None
-    _was_used: bool = False
-    _stopped: bool = field(default=False)
+    _stopped: bool = False
 
     def run(self) -> None:
         """Send requests until :meth:`stop` is called."""
@@ -77,7 +77,6 @@
             return False
         self._sock.settimeout(DEADLINE_S + PATIENCE_S)
         self._stream = self._sock.makefile("rb")
-        self._was_used = False
         return True
 
     def _next(self) -> Sending:
@@ -102,7 +101,6 @@
             body=body,
             sent_at=self.now(),
             deadline_s=DEADLINE_S,
-            was_open=self._was_used,
             is_probe=is_probe,
         )
 
@@ -114,7 +112,6 @@
             if sending.gave_up:
                 gevent.sleep(GIVE_UP_AFTER_S)
             elif self._read(sending):
-                self._was_used = True
                 return
         except (OSError, ValueError):
             # The sending keeps no status, which tells that the answer is missing.
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -13,10 +13,10 @@
 import gevent
 from gevent import socket as gevent_socket
 
-from standins.listener import reserve_port
+from standins.listener import LOOPBACK, reserve_port
 
 from .journal import Disturbance
-from .relay import LOOPBACK, Relay
+from .relay import Relay
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -131,7 +131,7 @@
     state = rng.choice((LinkState.DELAYED, LinkState.SILENT, LinkState.ANSWERS_CUT))
     for server in _some(scene, rng):
         server.relay.set(state)
-        scene.disturb(server_name(server), f"link {state.value}", fault.for_s)
+        scene.disturb(server.name, f"link {state.value}", fault.for_s)
         gevent.spawn_later(fault.for_s, server.relay.set, LinkState.WELL)
 
 
@@ -212,11 +212,6 @@
     deployment.remove_servers(deployment.shards(old))
 
 
-def server_name(server: Server) -> str:
-    """Return the name under which a server's disturbances are noted."""
-    return f"{server.service}/{server.domain}"
-
-
 def _some(scene: Scene, rng: random.Random) -> list[Server]:
     """Return one server, some of all, or one copy of each shard."""
     servers = scene.deployment.servers
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -8,6 +8,11 @@
 """Names all daemons at once in a :class:`Disturbance`."""
 
 
+def server_name(service: str, domain: str) -> str:
+    """Return the name under which the disturbances of a server are noted."""
+    return f"{service}/{domain}"
+
+
 @dataclass(slots=True)
 class Sending:
     """One request of a caller, and what came back."""
@@ -19,8 +24,6 @@
     body: bytes
     sent_at: float
     deadline_s: float
-    was_open: bool
-    """Whether it went over a connection that had carried requests before."""
     ended_at: float = float("inf")
     """When the answer was whole, or the connection ended without one."""
     status: int | None = None
@@ -55,6 +58,11 @@
     ran: bool = False
     """Whether the server began to run it; one that refused it did not."""
 
+    @property
+    def server_name(self) -> str:
+        """The server's name, which stays the same over its incarnations."""
+        return server_name(self.service, self.domain)
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -110,7 +118,6 @@
     """Daemons that ended by themselves: name, time, exit status."""
     calm_from: float = float("inf")
     """When the last fault was over."""
-    ended_at: float = 0.0
 
     def is_calm(self, daemon: str, start: float, end: float) -> bool:
         """Return whether nothing disturbed *daemon* at any time between *start* and *end*."""
--- a/soak/promises/changes.py
+++ b/soak/promises/changes.py
@@ -87,8 +87,8 @@
 def _in_touch(journal: Journal, daemon: str, arrival: Arrival, since: float) -> bool:
     """Return whether neither the daemon nor the way to the server was disturbed of late."""
     start = min(since, arrival.at - STABILITY_S) - STABILITY_S
-    server = f"{arrival.service}/{arrival.domain}"
-    return journal.is_calm(daemon, start, arrival.at) and journal.is_calm(server, start, arrival.at)
+    names = (daemon, arrival.server_name)
+    return all(journal.is_calm(name, start, arrival.at) for name in names)
 
 
 def _probed(journal: Journal) -> Iterator[tuple[Sending, int]]:
--- a/soak/promises/processes.py
+++ b/soak/promises/processes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..daemons import GRACE_S
 from .changes import STABILITY_S
 from .registry import promises
 
@@ -15,7 +16,6 @@
 # The bounds of the platform's pages, in seconds.
 LOSS_SLACK_S = 0.2
 RECOVERY_S = 12.0
-GRACE_S = 6.0
 
 
 @promises.register("planned stops")
--- a/soak/promises/sends.py
+++ b/soak/promises/sends.py
@@ -98,7 +98,7 @@
         sending = sent.get(arrival.request_id)
         if sending is None:
             continue
-        names = (sending.daemon, f"{arrival.service}/{arrival.domain}")
+        names = (sending.daemon, arrival.server_name)
         if not all(journal.is_calm(name, sending.sent_at, arrival.at) for name in names):
             continue
         left_s = sending.sent_at + sending.deadline_s - arrival.at
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -12,15 +11,15 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from standins.listener import LOOPBACK, reset_when_closed
+
 if TYPE_CHECKING:
     from marigoldwalk.config.view import Address
 
-LOOPBACK = "127.0.0.1"
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 DELAY_S = 0.08
 """Delay of each piece of data on a delayed link, many times the way between failure domains."""
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LinkState(Enum):
@@ -111,7 +110,7 @@
 def _reset(sock: socket.socket) -> None:
     """Close *sock* with a reset; greenlets that wait on it see an error."""
     try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        reset_when_closed(sock)
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         # It is closed already.
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,8 @@
 
 import gevent
 
+from standins.listener import LOOPBACK
+
 from . import promises
 from .callers import Caller
 from .daemons import Daemon
@@ -18,7 +20,6 @@
 from .faults import Scene, faults, strike
 from .journal import EVERYTHING, Disturbance, Journal
 from .plan import make_plan
-from .relay import LOOPBACK
 
 if TYPE_CHECKING:
     from .plan import PlannedFault
@@ -84,7 +85,6 @@
         for daemon in fleet:
             daemon.end()
         deployment.stop()
-    journal.ended_at = time.monotonic()
     return Result(
         seed,
         len(journal.sendings),
@@ -126,7 +126,7 @@
         struck.append(gevent.spawn(strike, scene, fault))
     gevent.joinall(struck, timeout=FAULT_END_S, raise_error=True)
     last_end = max((d.end for d in scene.journal.disturbances), default=0.0)
-    gevent.sleep(max(0.0, min(last_end, time.monotonic() + FAULT_END_S) - time.monotonic()))
+    gevent.sleep(min(max(0.0, last_end - time.monotonic()), FAULT_END_S))
 
 
 def _watch_harness(journal: Journal) -> None:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -12,10 +12,10 @@
 from gevent.server import StreamServer
 
 from marigoldwalk.config.view import Address
-from standins.listener import reserve_port
+from standins.listener import LOOPBACK, reserve_port
 
-from .journal import Arrival, Reply
-from .relay import LOOPBACK, Relay
+from .journal import Arrival, Reply, server_name
+from .relay import Relay
 
 if TYPE_CHECKING:
     import random
@@ -50,7 +50,7 @@
     CUT = "cut"
     """It breaks off in the middle of a body."""
     LOST = "lost"
-    """It runs requests and resets the connection."""
+    """It runs requests and closes the connection."""
 
 
 ODD_SHARE = 0.4
@@ -91,7 +91,6 @@
     _listener: StreamServer | None = None
     _slots: BoundedSemaphore = field(default_factory=lambda: BoundedSemaphore(SLOTS))
     _waiting: int = 0
-    _open: set[socket.socket] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         """Open the relay, whose port stays the same over restarts."""
@@ -100,6 +99,11 @@
         self.relay = Relay(Address(*self._guard.getsockname()))
         self.start(is_cold=False)
 
+    @property
+    def name(self) -> str:
+        """The server's name, which stays the same over its incarnations."""
+        return server_name(self.service, self.domain)
+
     @property
     def is_up(self) -> bool:
         """Whether the server runs."""
--- a/standins/listener.py
+++ b/standins/listener.py
@@ -119,7 +119,7 @@
             return
         server.close()
         for sock in self.open_sockets:
-            _reset_when_closed(sock)
+            reset_when_closed(sock)
         server.pool.kill(block=False)
 
     def close(self) -> None:
@@ -130,7 +130,7 @@
     def admit(self, sock: Any) -> bool:
         """Take in a new connection, or reset it when too many are open."""
         if len(self.open_sockets) >= self._limit():
-            _reset_when_closed(sock)
+            reset_when_closed(sock)
             self._on_refused()
             return False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -139,6 +139,6 @@
         return True
 
 
-def _reset_when_closed(sock: Any) -> None:
-    # Without lingering, closing sends a reset and not an orderly end.
+def reset_when_closed(sock: Any) -> None:
+    """Have the close of *sock* send a reset and not an orderly end, as it does without lingering."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -29,7 +29,6 @@
         "body": b"",
         "sent_at": sent_at,
         "deadline_s": 1.5,
-        "was_open": False,
         "ended_at": sent_at + 0.05,
         "status": status,
         "is_probe": path.startswith("/v"),
