--- a/standins/listener.py
+++ b/standins/listener.py
@@ -140,5 +140,5 @@
 
 
 def reset_when_closed(sock: Any) -> None:
-    """Have the close of *sock* send a reset and not an orderly end, as it does without lingering."""
+    """Have the close of *sock* send a reset, as it does without lingering, not an orderly end."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
