Reset connections whose handler has not started when a stand-in stops

Cause: stop() set SO_LINGER only on connections whose handler had started; one that was accepted in the same step was closed in order, so a test that expects a reset failed on a busy machine. Change: the listener keeps accepted connections until their handler starts, and resets these too.

--- a/standins/listener.py
+++ b/standins/listener.py
@@ -59,8 +59,14 @@
         super().__init__(listening, app, log=None, error_log=logger, spawn=Pool())
         self._listener = listener
 
+    def do_handle(self, sock: Any, address: Any) -> None:
+        """Start the handler of a new connection."""
+        self._listener.starting_sockets.add(sock)
+        super().do_handle(sock, address)
+
     def handle(self, sock: Any, address: Any) -> None:
         listener = self._listener
+        listener.starting_sockets.discard(sock)
         if not listener.admit(sock):
             return
         try:
@@ -88,6 +94,8 @@
     ) -> None:
         self.connect_s = connect_s
         self.open_sockets: set[Any] = set()
+        self.starting_sockets: set[Any] = set()
+        """Accepted connections whose handler has not started yet."""
         self._app = app
         self._limit = limit
         self._on_refused = on_refused
@@ -118,8 +126,9 @@
         if server is None:
             return
         server.close()
-        for sock in self.open_sockets:
+        for sock in self.open_sockets | self.starting_sockets:
             reset_when_closed(sock)
+        self.starting_sockets.clear()
         server.pool.kill(block=False)
 
     def close(self) -> None:
