Reject requests with both a length and chunks at once

Cause: pywsgi drops the length if there are chunks, then waits up to 75 s for the first chunk, and no counter of ours sees the request. Change: the handler notes a stated length before pywsgi drops it, answers 400, closes the connection and reports the request.

--- a/marigoldwalk/daemon/http_server.py
+++ b/marigoldwalk/daemon/http_server.py
@@ -43,6 +43,16 @@
 )
 
 
+_BAD_REQUEST_RESPONSE = (
+    "400",
+    b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+)
+
+
+class AmbiguousLengthError(ValueError):
+    """The headers do not determine where the body of a request ends."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerTimeouts:
     """Time limits for a server's waits for its callers, in seconds."""
@@ -54,6 +64,12 @@
 class TimeLimitedHandler(WSGIHandler):
     """A handler that closes the connections of callers that are too slow."""
 
+    def MessageClass(self, *args: Any) -> Any:
+        """Return the headers, with a note of a stated length, which pywsgi drops beside chunks."""
+        headers = super().MessageClass(*args)
+        headers.has_length = "content-length" in headers
+        return headers
+
     def read_requestline(self) -> str:
         """Read the first line of a request."""
         self.server.waiting_greenlets[self] = gevent.getcurrent()
@@ -72,13 +88,23 @@
             return super().read_requestline()
 
     def read_request(self, raw_requestline: str) -> bool:
-        """Read the headers of a request."""
+        """Read the headers of a request.
+
+        Raises ``AmbiguousLengthError`` if they state both a length and chunks, since another server
+        on the way may have taken a different part of the data for the body (request smuggling).
+        """
         header_s = self.server.caller_timeouts().header_s
         with gevent.Timeout(header_s, TimeoutError("the headers did not arrive in time")):
-            return super().read_request(raw_requestline)
+            is_valid = super().read_request(raw_requestline)
+        if self.headers.has_length and "transfer-encoding" in self.headers:
+            raise AmbiguousLengthError("the request has both a length and chunks")
+        return is_valid
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Return the response to a request that cannot be read; overrides a hook of pywsgi."""
+        if isinstance(ex, AmbiguousLengthError):
+            self.server.on_malformed(str(ex))
+            return _BAD_REQUEST_RESPONSE
         if isinstance(ex, TimeoutError):
             logger.info(
                 "request headers did not arrive in time", extra={"fields": {"why": str(ex)}}
@@ -112,9 +138,15 @@
     open_requests = 0
 
     def __init__(
-        self, *args: Any, caller_timeouts: Callable[[], CallerTimeouts], **options: Any
+        self,
+        *args: Any,
+        caller_timeouts: Callable[[], CallerTimeouts],
+        on_malformed: Callable[[str], None],
+        **options: Any,
     ) -> None:
         super().__init__(*args, **options)
+        self.on_malformed = on_malformed
+        """Called with the reason when a request is rejected before its body is read."""
         self.caller_timeouts = caller_timeouts
         """Called before each wait, since a new configuration may change the limits."""
         self.waiting_greenlets: dict[TimeLimitedHandler, gevent.Greenlet] = {}
@@ -156,12 +188,16 @@
     caller_timeouts: Callable[[], CallerTimeouts] = lambda: CallerTimeouts(
         IDLE_TIMEOUT_S, HEADER_TIMEOUT_S
     ),
+    on_malformed: Callable[[str], None] = lambda reason: logger.info(
+        "malformed request", extra={"fields": {"why": reason}}
+    ),
 ) -> DrainableServer:
     """Return a server for *app* on *listener*, not yet started."""
     return DrainableServer(
         listener,
         app,
         caller_timeouts=caller_timeouts,
+        on_malformed=on_malformed,
         environ={"SERVER_NAME": listener.getsockname()[0]},
         spawn=Pool(MAX_CONNECTIONS),
         log=None,
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -89,7 +89,10 @@
         self._store_watcher = StoreWatcher(store, readers, self.world.catalog, now, counters)
         self._caller_listener = listen(settings.caller_address)
         self._caller_server = make_server(
-            self._caller_listener, self._frontend.handle_caller, self._caller_timeouts
+            self._caller_listener,
+            self._frontend.handle_caller,
+            self._caller_timeouts,
+            self._frontend.record_malformed,
         )
         peer_app = _dispatch(mirror_app, self._frontend.handle_peer)
         self._peer_listener = listen(settings.peer_address)
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -93,6 +93,11 @@
                 return self._respond(environ, start_response, answer)
         return self._run_locally(exchange, parsed.body, environ, start_response)
 
+    def record_malformed(self, why: str) -> None:
+        """Report a request that the HTTP server has rejected before it read the body."""
+        logger.info("invalid request headers", extra={"fields": {"why": why}})
+        self._reporter.rejected("", ErrorAnswer(400, RefusalReason.MALFORMED))
+
     def handle_peer(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
