Admit what the servers can answer in time, and heed what they say of themselves

Cause: every query fanned out whatever the servers' state and was thrown away shard by shard; a query without enough usable shards was sent to the others and ended with 502. Server-Leaving and a server's Retry-After were not read. Change: an adaptive limit of open exchanges for each group of services (routing/admission.py), from the usual time of tasks; a refused query reaches no server. routing/eligibility.py leaves out servers that are leaving or asked for a pause; a service whose servers all pause is refused with the time of the earliest. A 503 of a server that does not deny a run becomes 502.

--- a/marigoldwalk/errors.py
+++ b/marigoldwalk/errors.py
@@ -107,6 +107,8 @@
     NOT_READY = "not_ready"
     NO_ROUTE = "no_route"
     NO_SERVER = "no_server"
+    SERVERS_PAUSED = "servers_paused"
+    OVERLOADED = "overloaded"
     SERVERS_FAILED = "servers_failed"
     DEADLINE = "deadline"
     SUSPECT_CONTENT = "suspect_content"
--- a/marigoldwalk/gateway/settings.py
+++ b/marigoldwalk/gateway/settings.py
@@ -67,6 +67,8 @@
     cold_factor: float = Field(default=1.5, ge=0)
     cold_slack: float = Field(default=5.0, ge=0)
     caller_delay_ms: float = Field(default=3.0, ge=0)
+    drain_ms: float = Field(default=3000.0, ge=0)
+    """Time for which a server that has said that it is leaving may still receive requests."""
 
 
 def parse_gateway_settings(text: str) -> GatewaySettings | Rejected:
@@ -109,5 +111,6 @@
             cold_factor=model.cold_factor,
             cold_slack=model.cold_slack,
             caller_delay_s=model.caller_delay_ms / 1000,
+            drain_s=model.drain_ms / 1000,
         ),
     )
--- a/marigoldwalk/platform/headers.py
+++ b/marigoldwalk/platform/headers.py
@@ -18,10 +18,15 @@
 SIGNATURE = "x-marigoldwalk-response-stamp"
 EXPECT_SERVER = "x-marigoldwalk-expect-instance"
 NOT_RUN = "x-marigoldwalk-not-executed"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
+MAX_RETRY_AFTER_S = 86_400.0
+"""A longer pause, which no server can mean, counts as this one."""
 PART_SIGNATURES = "X-Marigoldwalk-Part-Stamps"
 MISSING_PARTS = "X-Marigoldwalk-Missing-Parts"
 
 _MISDIRECTED_STATUS = 421
+_REJECTED_STATUS = 503
 
 _HOP_BY_HOP = frozenset(
     (
@@ -81,6 +86,8 @@
         signature = ""
         executed = raw.status != _MISDIRECTED_STATUS
         is_encoded = False
+        is_leaving = False
+        pause_s = 0.0
         end_to_end: list[tuple[str, str]] = []
         for name, value in raw.headers:
             lower = name.lower()
@@ -92,6 +99,12 @@
                 executed = False
             elif lower == "content-encoding":
                 is_encoded = True
+            elif lower == LEAVING:
+                # Meant for this daemon: callers have no connection to the server.
+                is_leaving = is_leaving or value.strip() == "1"
+                continue
+            elif lower == RETRY_AFTER and raw.status == _REJECTED_STATUS:
+                pause_s = max(pause_s, _pause_s(value))
             if lower not in _HOP_BY_HOP and lower != "content-length":
                 end_to_end.append((name, value))
         if is_encoded:
@@ -104,6 +117,8 @@
             signature=signature,
             executed=executed,
             is_misdirected=raw.status == _MISDIRECTED_STATUS,
+            is_leaving=is_leaving,
+            pause_s=pause_s,
         )
 
     def merged_headers(self, answer: MergedAnswer) -> list[tuple[str, str]]:
@@ -114,6 +129,15 @@
         ]
 
 
+def _pause_s(retry_after: str) -> float:
+    """Return the seconds in a ``Retry-After`` header; 0 for dates and invalid values."""
+    try:
+        pause_s = float(retry_after)
+    except ValueError:
+        return 0.0
+    return min(pause_s, MAX_RETRY_AFTER_S) if pause_s > 0 else 0.0
+
+
 def _connection_options(headers: Sequence[tuple[str, str]]) -> set[str]:
     """Return the header names that ``Connection`` headers list as hop-by-hop."""
     connection_options: set[str] = set()
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from ..errors import RefusalReason
+    from .admission import ConcurrencyLimit
     from .model import Route
     from .tables import ServerRow
 
@@ -26,6 +27,10 @@
     """``False`` if the server states that it did not execute the request."""
     is_misdirected: bool = False
     """Whether another server now uses the address and sent the reply."""
+    is_leaving: bool = False
+    """Whether the server says that it is leaving."""
+    pause_s: float = 0.0
+    """Time for which the server wants no requests from this daemon."""
 
     @property
     def is_success(self) -> bool:
@@ -115,6 +120,8 @@
     resend_at: float = float("inf")
     failure: str = ""
     """Why the task failed."""
+    servable_at: float | None = None
+    """When a server may take the failed task, if that is known."""
 
     @property
     def is_over(self) -> bool:
@@ -171,6 +178,10 @@
     """No hedge or resend of a task is due before this time."""
     is_answered: bool = False
     caller_left_at: float | None = None
+    limit: ConcurrencyLimit | None = None
+    """The limit under which the exchange was admitted."""
+    holds_place: bool = False
+    """Whether the exchange counts as open under the limit."""
 
     @property
     def may_have_run(self) -> bool:
--- a/marigoldwalk/routing/finishing.py
+++ b/marigoldwalk/routing/finishing.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ..errors import RefusalReason
+from .admission import record_end
 from .exchanges import (
     ErrorAnswer,
     Finish,
@@ -22,11 +24,16 @@
 from .merging import top_records
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from .exchanges import Answer, Exchange, Task
+    from .placement import NoServer
     from .world import RoutingWorld
 
 RETRY_AFTER_S = 0.1
 """Time after which a refused caller may retry: several times the service time of a request."""
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses with which the gateway promises that a request has not run."""
 
 
 def finish_if_due(world: RoutingWorld, exchange: Exchange) -> None:
@@ -44,6 +51,7 @@
 def finish(world: RoutingWorld, exchange: Exchange, answer: Answer) -> None:
     """Answer *exchange* and end its open tasks."""
     exchange.is_answered = True
+    record_end(world, exchange)
     for task in exchange.tasks:
         task.fail("the answer left without it")
     world.actions.append(Finish(exchange, answer))
@@ -54,15 +62,18 @@
     if task.state is TaskState.DONE:
         return ForwardedAnswer(task.reply)
     if task.state is TaskState.FAILED:
-        return _failure_answer(exchange, task)
+        return _failure_answer(world, exchange, task)
     if world.now >= exchange.give_up_at:
         return _deadline_answer(exchange)
     return None
 
 
-def _failure_answer(exchange: Exchange, task: Task) -> Answer:
-    if isinstance(task.reply, ServerReply):
+def _failure_answer(world: RoutingWorld, exchange: Exchange, task: Task) -> Answer:
+    # A server that may have run the request can answer with a status that would deny it.
+    if isinstance(task.reply, ServerReply) and task.reply.status not in _NOT_RUN_STATUSES:
         return ForwardedAnswer(task.reply)
+    if task.servable_at is not None and not exchange.may_have_run:
+        return _paused_answer(task.servable_at, world.now)
     return unserved_answer(exchange)
 
 
@@ -73,6 +84,30 @@
     return ErrorAnswer(503, RefusalReason.NO_SERVER, RETRY_AFTER_S)
 
 
+def unservable_answer(
+    exchange: Exchange, blocked: Sequence[NoServer], now: float
+) -> ErrorAnswer | None:
+    """Return the refusal of a new exchange if too many of its tasks are *blocked*.
+
+    The caller may come back when enough servers take requests again, if the servers have said so.
+    """
+    total = len(exchange.tasks)
+    fan_out = exchange.route.fan_out
+    needed = max(1, math.ceil(fan_out.min_coverage * total)) if fan_out is not None else total
+    missing = needed - (total - len(blocked))
+    if missing <= 0:
+        return None
+    known = sorted(refusal.until for refusal in blocked if refusal.until is not None)
+    if len(known) < missing:
+        return ErrorAnswer(503, RefusalReason.NO_SERVER, RETRY_AFTER_S)
+    return _paused_answer(known[missing - 1], now)
+
+
+def _paused_answer(servable_at: float, now: float) -> ErrorAnswer:
+    retry_after_s = max(servable_at - now, RETRY_AFTER_S)
+    return ErrorAnswer(503, RefusalReason.SERVERS_PAUSED, retry_after_s)
+
+
 def _deadline_answer(exchange: Exchange) -> ErrorAnswer:
     if exchange.may_have_run:
         return ErrorAnswer(504, RefusalReason.DEADLINE)
--- a/marigoldwalk/routing/latencies.py
+++ b/marigoldwalk/routing/latencies.py
@@ -13,6 +13,9 @@
 pauses and slow servers do not affect it."""
 INITIAL_MEDIAN_SHARE = 0.17
 """Initial median, as a fraction of the route's target."""
+FLOOR_GROWTH = 1.001
+"""Factor by which the lowest median grows at each computation, so that it follows a route whose
+requests become slower for good."""
 INITIAL_HIGH_SHARE = 0.25
 """Initial high quantile, as a fraction of the route's target."""
 
@@ -23,6 +26,8 @@
     def __init__(self, target_s: float) -> None:
         self.median_s = INITIAL_MEDIAN_SHARE * target_s
         self.high_s = INITIAL_HIGH_SHARE * target_s
+        self.floor_s = self.median_s
+        """The lowest recent median: the latency of an attempt at servers that are not busy."""
         self._samples: deque[float] = deque(maxlen=SAMPLES)
         self._since_refresh = 0
 
@@ -38,3 +43,4 @@
         ordered = sorted(self._samples)
         self.median_s = ordered[len(ordered) // 2]
         self.high_s = ordered[int(len(ordered) * HIGH_QUANTILE)]
+        self.floor_s = min(self.median_s, self.floor_s * FLOOR_GROWTH)
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from .admission import record_shed, record_wait
 from .exchanges import LossReason
 from .sending import release, retry
 
@@ -25,6 +26,7 @@
     if task.is_over:
         world.counters["reply.superseded"] += 1
     elif reply.is_success:
+        record_wait(world, task.exchange)
         task.finish(reply)
     elif not reply.executed:
         _handle_not_run(world, attempt)
@@ -86,6 +88,7 @@
 
 def _record_reply(world: RoutingWorld, attempt: Attempt, reply: ServerReply) -> None:
     row = attempt.row
+    _record_notices(world, attempt, reply)
     if reply.is_success:
         usual = world.latencies(attempt.task.exchange.route)
         latency_s = world.now - attempt.sent_at
@@ -99,11 +102,27 @@
     elif not reply.executed:
         world.counters["reply.shed"] += 1
         row.record_shed(world.now)
+        record_shed(world, attempt.task.exchange)
     else:
         world.counters["reply.failure"] += 1
         row.record_failure(world.now)
 
 
+def _record_notices(world: RoutingWorld, attempt: Attempt, reply: ServerReply) -> None:
+    """Record what the server says about itself, unless another server sent the reply."""
+    if reply.is_misdirected:
+        return
+    row = attempt.row
+    if reply.is_leaving and row.record_leaving(world.now):
+        world.counters["notice.leaving"] += 1
+        logger.info("server is leaving", extra={"fields": {"server": row.server_id}})
+    if reply.pause_s > 0:
+        world.counters["notice.pause"] += 1
+        row.record_pause(reply.pause_s, world.now)
+        fields = {"server": row.server_id, "pause_s": round(reply.pause_s, 3)}
+        logger.info("server asks for a pause", extra={"fields": fields})
+
+
 def _handle_not_run(world: RoutingWorld, attempt: Attempt) -> None:
     task = attempt.task
     task.record_not_run(attempt.row.server_id)
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -38,6 +38,8 @@
     code: str
     """Suffix of the counter for this reason."""
     reason: str
+    until: float | None = None
+    """When a server may take attempts again, if that is known."""
 
     def __bool__(self) -> bool:
         return False
@@ -45,6 +47,7 @@
 
 UNREGISTERED = NoServer("unregistered", "no server is registered")
 NONE_USABLE = NoServer("none_usable", "every server drains, is cold or is out of service")
+LEAVING = NoServer("leaving", "every server is leaving")
 ALL_BUSY = NoServer("all_busy", "every server has as many attempts as this daemon may send it")
 ALL_TRIED = NoServer("all_tried", "every server was tried")
 ALL_STALLED = NoServer("all_stalled", "every other server would take as long")
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 from ..errors import RefusalReason
+from .admission import record_end
 from .exchanges import Abandon, ErrorAnswer, Exchange, Task
-from .finishing import finish_if_due
+from .finishing import finish, finish_if_due
 from .outcomes import handle_loss, handle_reply
-from .sending import hedge_if_due, resend_if_due, send_first, serve_queue
+from .sending import hedge_if_due, resend_if_due, serve_queue, start_tasks
 from .suspects import EVIDENCE_TTL_S
 
 if TYPE_CHECKING:
@@ -56,12 +57,13 @@
         return self._exchange(request, route, version or catalog.config.version)
 
     def start(self, exchange: Exchange, now: float) -> list[Action]:
-        """Send the tasks of a new exchange."""
+        """Send the tasks of a new exchange, or refuse it."""
         self.world.now = now
         for service in self._services(exchange.route):
             exchange.tasks.append(Task(exchange, service))
-        for task in exchange.tasks:
-            send_first(self.world, task)
+        refusal = start_tasks(self.world, exchange)
+        if refusal is not None:
+            finish(self.world, exchange, refusal)
         finish_if_due(self.world, exchange)
         return self.world.take_actions()
 
@@ -114,6 +116,7 @@
         self.world.counters["caller.left"] += 1
         exchange.caller_left_at = now
         exchange.is_answered = True
+        record_end(self.world, exchange)
         for task in exchange.tasks:
             task.fail("the caller left")
 
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -4,23 +4,25 @@
 
 from typing import TYPE_CHECKING
 
+from .admission import admit
+from .eligibility import eligible_servers
 from .exchanges import Attempt, Send, Task, TaskState
+from .finishing import unservable_answer
 from .placement import (
     ALL_BUSY,
     ALL_STALLED,
     ALL_TRIED,
     BUDGET_SCARCE,
-    NONE_USABLE,
     STALL_FACTOR,
     TOO_LATE,
+    NoServer,
     choose_server,
     cost_of,
 )
 from .tables import ServerRow
 
 if TYPE_CHECKING:
-    from .exchanges import Exchange
-    from .placement import NoServer
+    from .exchanges import ErrorAnswer, Exchange
     from .world import RoutingWorld
 
 CONNECTION_SHARE = 0.9
@@ -44,15 +46,46 @@
 delays dominate."""
 
 
-def send_first(world: RoutingWorld, task: Task) -> None:
-    """Send a task for the first time, or queue it until a server is free."""
-    world.budget(task.service).record_first(world.now)
-    try_to_send(world, task)
+def start_tasks(world: RoutingWorld, exchange: Exchange) -> ErrorAnswer | None:
+    """Send all tasks of a new exchange, or return the answer with which it is refused.
+
+    Nothing is sent if too few tasks can be served or if the exchange is not admitted, so that a
+    refusal is true and no server works in vain.
+    """
+    choices = [_choose(world, task, task.avoided) for task in exchange.tasks]
+    blocked = [chosen for chosen in choices if _is_blocked(world, exchange, chosen)]
+    refusal = unservable_answer(exchange, blocked, world.now) or admit(world, exchange)
+    if refusal is not None:
+        for task, chosen in zip(exchange.tasks, choices, strict=True):
+            if chosen in blocked:
+                task.fail(chosen.reason)
+        return refusal
+    for task, chosen in zip(exchange.tasks, choices, strict=True):
+        world.budget(task.service).record_first(world.now)
+        _send_or_wait(world, task, chosen)
+    return None
+
+
+def _is_blocked(world: RoutingWorld, exchange: Exchange, chosen: ServerRow | NoServer) -> bool:
+    """Return whether no server will take a task in time."""
+    if isinstance(chosen, ServerRow) or chosen is ALL_BUSY:
+        return False
+    return not _resumes_in_time(world, exchange, chosen)
+
+
+def _resumes_in_time(world: RoutingWorld, exchange: Exchange, refusal: NoServer) -> bool:
+    """Return whether a server that takes no attempts now does so before the target."""
+    if refusal.until is None:
+        return False
+    return refusal.until + world.latencies(exchange.route).median_s <= exchange.target_at
 
 
 def try_to_send(world: RoutingWorld, task: Task) -> None:
     """Send a task that has no open attempt, or else queue it, delay it or fail it."""
-    chosen = _choose(world, task, task.avoided)
+    _send_or_wait(world, task, _choose(world, task, task.avoided))
+
+
+def _send_or_wait(world: RoutingWorld, task: Task, chosen: ServerRow | NoServer) -> None:
     if isinstance(chosen, ServerRow):
         _send(world, task, chosen)
     elif chosen is ALL_BUSY:
@@ -62,7 +95,11 @@
     elif chosen is ALL_TRIED and task.avoided - task.may_have_run_on:
         # Servers that refused it without executing it may accept it a little later.
         task.schedule_resend(world.now + RESEND_AFTER_S)
+    elif _resumes_in_time(world, task.exchange, chosen):
+        task.schedule_resend(chosen.until)
+        world.counters["wait.paused"] += 1
     else:
+        task.servable_at = chosen.until
         task.fail(chosen.reason)
 
 
@@ -72,7 +109,7 @@
         return
     task.resend_at = float("inf")
     task.avoided = set(task.may_have_run_on)
-    retry(world, task)
+    retry(world, task, arrived=task.sends > 0)
 
 
 def retry(world: RoutingWorld, task: Task, arrived: bool = True) -> None:
@@ -126,7 +163,7 @@
     """Return the server for a hedge, or the reason why none is sent now."""
     if not _can_still_help(world, task):
         return TOO_LATE
-    chosen = _choose(world, task, task.avoided | task.may_have_run_on, is_pessimistic=True)
+    chosen = _choose(world, task, task.avoided | task.may_have_run_on, is_hedge=True)
     if not isinstance(chosen, ServerRow):
         return chosen
     if cost_of(chosen, world.domain, world.now) >= STALL_FACTOR:
@@ -167,19 +204,14 @@
 
 
 def _choose(
-    world: RoutingWorld, task: Task, avoided: set[str], is_pessimistic: bool = False
+    world: RoutingWorld, task: Task, avoided: set[str], is_hedge: bool = False
 ) -> ServerRow | NoServer:
-    service = world.catalog.service(task.service)
-    share = world.share(task.service)
-    rows = [
-        row
-        for row in world.catalog.usable_servers(task.service)
-        if world.cold.allows(row, service, share, world.now)
-    ]
-    max_open_attempts = open_attempts_limit(world, task, rows[0].registration.slots) if rows else 1
-    if not rows and world.catalog.registered_servers(task.service):
-        return NONE_USABLE
-    return choose_server(rows, world.domain, avoided, max_open_attempts, world.now, is_pessimistic)
+    # A leaving server is no place for a hedge, since another server already has the request.
+    rows = eligible_servers(world, task, () if is_hedge else avoided)
+    if isinstance(rows, NoServer):
+        return rows
+    max_open_attempts = open_attempts_limit(world, task, rows[0].registration.slots)
+    return choose_server(rows, world.domain, avoided, max_open_attempts, world.now, is_hedge)
 
 
 def _take_from_budget(world: RoutingWorld, task: Task) -> bool:
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .admission import Admission
 from .answer_lag import AnswerLagTracker
 from .budgets import BudgetLimits, RetryBudget
 from .catalog import Catalog
@@ -32,6 +33,8 @@
     """Requests per second allowed in addition to that."""
     caller_delay_s: float = 0.003
     """One-way delay between a caller and this daemon."""
+    drain_s: float = 3.0
+    """Time for which a server that has said that it is leaving may still receive requests."""
 
 
 class RoutingWorld:
@@ -46,6 +49,7 @@
         """Number of daemons that may be sending to the same servers, including this one."""
         self.shard_share = 1.0
         """This daemon's share of the fleet-wide limits for the servers of shards."""
+        self.admission = Admission()
         self.answer_lag = AnswerLagTracker()
         self.catalog = Catalog()
         self.splits = SplitChooser()
--- a/tests/gateway/daemons.py
+++ b/tests/gateway/daemons.py
@@ -56,6 +56,12 @@
         return socket.create_connection((address.host, address.port), TEST_TIMEOUT_S)
 
 
+def wait_until(condition):
+    with gevent.Timeout(TEST_TIMEOUT_S):
+        while not condition():
+            gevent.sleep(0.005)
+
+
 def request(path="/one/1", method="GET", request_id="q-1", body=None, headers=()):
     lines = [
         f"{method} {path} HTTP/1.1",
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -13,7 +13,7 @@
 from standins.gateway_backends import StandinServer, config_record, route_record
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
-from .daemons import Daemon, ask, deployment, read_response, request
+from .daemons import Daemon, ask, deployment, read_response, request, wait_until
 
 
 def slow_answer(server_id, pause_s):
@@ -287,3 +287,62 @@
             sock.sendall(request())
             time.sleep(0.1)
             assert read_response(stream)[0] == 200
+
+
+def answering(server_id, *headers, status="200 OK"):
+    """Return a stand-in server whose answers have further headers."""
+
+    def answer(environ, start_response):
+        own = [("X-Marigoldwalk-Response-Stamp", f"stamp-{server_id}"), ("Content-Length", "2")]
+        start_response(status, [*own, *headers])
+        return [b"ok"]
+
+    return StandinServer(server_id, answer=answer)
+
+
+def test_leaving_server_receives_nothing_after_its_first_answer():
+    servers = {"s-1": [answering("i-1", ("Server-Leaving", "1")), answering("i-2")]}
+    with deployment(servers=servers) as (daemon, _):
+        responses = ask(daemon, *(request(request_id=f"q-{n}") for n in range(12)))
+    assert [status for status, _, _ in responses] == [200] * 12
+    assert len(servers["s-1"][0].requests) <= 1
+    assert all("server-leaving" not in headers for _, headers, _ in responses)
+
+
+def test_caller_hears_when_the_servers_that_asked_for_a_pause_take_requests_again():
+    pause = [("X-Marigoldwalk-Not-Executed", "1"), ("Retry-After", "30")]
+    servers = {"s-1": [answering(f"i-{n}", *pause, status="503 Busy") for n in range(2)]}
+    with deployment(servers=servers) as (daemon, _):
+        responses = ask(daemon, *(request(request_id=f"q-{n}") for n in range(6)))
+    assert [status for status, _, _ in responses] == [503] * 6
+    assert [body for _, _, body in responses] == [b"servers_paused"] * 6
+    assert all(25 < float(headers["retry-after"]) <= 30 for _, headers, _ in responses)
+    assert [len(server.requests) for server in servers["s-1"]] == [1, 1]
+
+
+def test_daemon_follows_a_store_that_was_restored_from_a_copy():
+    servers = {"s-1": [StandinServer("i-1", b"one")], "s-2": [StandinServer("i-2", b"two")]}
+    routes = [route_record(), route_record("/two/", service="s-2")]
+    with deployment([routes[0]], servers) as (daemon, store):
+        watcher = daemon.gateway._store_watcher
+        store.put("op/config", config_record(7, routes, servers))
+        wait_until(lambda: daemon.gateway.world.catalog.config.version == 7)
+        # The copy has the first version, and the revisions of the second are given out again.
+        store.restore(1)
+        store.put("op/evacuate/south", {})
+        wait_until(lambda: watcher.era == 2)
+        assert ask(daemon, request("/two/1"))[0][0] == 200
+        store.put("op/config", config_record(9, [routes[1]], servers))
+        wait_until(lambda: daemon.gateway.world.catalog.config.version == 9)
+        assert ask(daemon, request("/one/1"))[0][0] == 404
+
+
+def test_request_with_a_length_and_chunks_is_rejected_at_once_and_counted():
+    headers = ["Content-Length: 5", "Transfer-Encoding: chunked"]
+    with deployment() as (daemon, _):
+        with daemon.connect() as sock, sock.makefile("rb") as stream, gevent.Timeout(2.0):
+            # No chunk follows, so a server that waited for one would not answer.
+            sock.sendall(request(method="POST", headers=headers))
+            assert read_response(stream)[0] == 400
+            assert read_response(stream) is None
+        assert daemon.gateway.world.counters["refusal.malformed"] == 1
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -85,3 +85,38 @@
         ("X-Marigoldwalk-Part-Stamps", "a, b"),
         ("X-Marigoldwalk-Missing-Parts", "1"),
     ]
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_leaving_is_read_from_every_answer_and_not_passed_on(status):
+    reply = read(STAMP, ("Server-Leaving", "1"), status=status)
+    assert reply.is_leaving
+    assert [name for name, _ in reply.headers] == ["X-Marigoldwalk-Response-Stamp"]
+    assert not read(STAMP, ("Server-Leaving", "0")).is_leaving
+    assert not read(STAMP).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        (" 3 ", 3.0),
+        ("0", 0.0),
+        ("-5", 0.0),
+        ("soon", 0.0),
+        ("", 0.0),
+        ("nan", 0.0),
+        ("inf", 86_400.0),
+        ("1e12", 86_400.0),
+        ("Fri, 04 Dec 2026 08:00:00 GMT", 0.0),
+    ],
+)
+def test_pause_is_read_from_a_503(value, expected):
+    assert read(("Retry-After", value), status=503).pause_s == expected
+
+
+def test_retry_after_with_another_status_is_no_pause_and_passed_on():
+    reply = read(STAMP, ("Retry-After", "2"), status=500)
+    assert reply.pause_s == 0.0
+    assert ("Retry-After", "2") in reply.headers
