Let followers ask the readers while the store is down

Cause: when no reader could answer, each of 195 daemons called the store itself with a backoff of 0.3 to 1.5 s until it was back. Change: followers go on asking the readers, which probe the store already, and call the store after 1.5 s without an answer, at 20 calls a second over the fleet.

--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -131,6 +131,8 @@
             self._readers.record_failure(address, self._now())
             fields = {"reader": str(address), "why": str(exc)}
             logger.info("store mirror is not responding", extra={"fields": fields})
+            if self._readers.choose(self._now()) == address:
+                self._back_off()
 
     def _poll_mirror(self, mirror: Store) -> None:
         try:
@@ -265,6 +267,8 @@
         self._backoff_s = min(self._backoff_s * 1.6, MAX_BACKOFF_S)
 
     def _apply(self, batch: UpdateBatch) -> None:
+        self._readers.record_answer(self._now())
+        self._backoff_s = MIN_BACKOFF_S
         for update in batch.updates:
             self._apply_update(update)
         self._update_exclusions()
@@ -333,7 +337,6 @@
 
     def _record_response(self) -> None:
         self.confirmed_at = self._now()
-        self._backoff_s = MIN_BACKOFF_S
         if self._is_unavailable:
             self._is_unavailable = False
             logger.info("store is responding again", extra={"fields": self._state()})
--- a/marigoldwalk/routing/readers.py
+++ b/marigoldwalk/routing/readers.py
@@ -5,6 +5,10 @@
 store; each of the others follows one of these readers. Readers are strong daemons: a reader sends
 every change to all its followers, and the network link of a small machine would delay them for
 seconds when an index is resharded.
+
+While the store is down, no reader can answer, and hundreds of followers would all call the store
+until it is back. They keep asking the readers, which do so already, and turn to the store itself
+after a time that spreads their calls evenly.
 """
 
 from __future__ import annotations
@@ -25,6 +29,12 @@
 reader after 5 s."""
 
 
+STORE_FALLBACK_S = 1.5
+"""Time without any answer after which a follower may call the store itself."""
+FOLLOWER_CALLS_PER_S = 20.0
+"""Maximum rate of such calls by the whole fleet."""
+
+
 class Readers:
     """The selection of the reader, or the store itself, from which this daemon reads."""
 
@@ -32,6 +42,8 @@
         self._membership = membership
         self._failed_until: dict[Address, float] = {}
         self._store_failed_until = 0.0
+        self._answered_at = float("-inf")
+        self._store_called_at = float("-inf")
 
     def choose(self, now: float) -> Address | None:
         """Return the daemon to read from, or ``None`` for the store itself.
@@ -51,11 +63,30 @@
         # Readers in the own failure domain come first, since traffic between domains is priced.
         # Beyond that, each daemon has its own order, which spreads the daemons over the readers.
         usable.sort(key=lambda r: (r.domain != own.domain, stable_hash(own.name, r.name)))
-        return usable[0].address if usable else None
+        if usable:
+            return usable[0].address
+        others = [reader.address for reader in readers if reader != own]
+        if own in readers or not others or self._may_call_store(now):
+            return None
+        return min(others, key=lambda address: self._failed_until.get(address, 0.0))
+
+    def record_answer(self, now: float) -> None:
+        """Record that a reader or the store has answered."""
+        self._answered_at = now
 
     def record_store_failure(self, now: float) -> None:
         """Avoid the store for a while if another reader is available."""
         self._store_failed_until = now + READER_BACKOFF_S
+        self._store_called_at = now
+
+    def _may_call_store(self, now: float) -> bool:
+        """Return whether a follower that no reader answers should call the store itself."""
+        interval_s = self._membership.possible_member_count() / FOLLOWER_CALLS_PER_S
+        place = stable_hash("fallback", self._membership.own.name) % 1000 / 1000
+        return (
+            now - self._answered_at >= STORE_FALLBACK_S + place * interval_s
+            and now - self._store_called_at >= interval_s
+        )
 
     def record_failure(self, reader: Address, now: float) -> None:
         """Avoid for a while a reader that did not answer."""
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -62,6 +62,9 @@
     def choose(self, now):
         return None
 
+    def record_answer(self, now):
+        pass
+
     def record_store_failure(self, now):
         pass
 
@@ -211,6 +214,9 @@
     def record_failure(self, reader, now):
         self.failures.append(reader)
 
+    def record_answer(self, now):
+        pass
+
     def record_store_failure(self, now):
         pass
 
