Keep no idle connections at servers that accept fewer than there are daemons

Change: a connection is kept only if this daemon's share of the server's connections is at least one.

--- a/marigoldwalk/gateway/executor.py
+++ b/marigoldwalk/gateway/executor.py
@@ -109,7 +109,10 @@
 
     def _on_outcome(self, attempt: Attempt, outcome: Outcome) -> None:
         connection = self._connections.pop(attempt)
-        self._pool.release(attempt.row, connection)
+        if self._router.keeps_connection(attempt):
+            self._pool.release(attempt.row, connection)
+        else:
+            connection.close()
         exchange = attempt.task.exchange
         now = self._now()
         handle = self._router.reply if outcome else self._router.lost
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -9,7 +9,13 @@
 from .exchanges import Abandon, ErrorAnswer, Exchange, Task
 from .finishing import finish, finish_if_due
 from .outcomes import handle_loss, handle_reply
-from .sending import hedge_if_due, resend_if_due, serve_queue, start_tasks
+from .sending import (
+    hedge_if_due,
+    keeps_connection,
+    resend_if_due,
+    serve_queue,
+    start_tasks,
+)
 from .suspects import EVIDENCE_TTL_S
 
 if TYPE_CHECKING:
@@ -120,6 +126,10 @@
         for task in exchange.tasks:
             task.fail("the caller left")
 
+    def keeps_connection(self, attempt: Attempt) -> bool:
+        """Return whether the connection of an ended attempt is kept for further requests."""
+        return keeps_connection(self.world, attempt)
+
     def next_due_at(self, exchange: Exchange) -> float | None:
         """Return when :meth:`perform_due` must next be called for *exchange*, or ``None``."""
         if exchange.is_answered:
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -196,11 +196,26 @@
 
 def open_attempts_limit(world: RoutingWorld, task: Task, slots: int) -> int:
     """Return this daemon's limit of open attempts at one server of the task's service."""
-    service = world.catalog.service(task.service)
+    share = connection_share(world, task.service)
+    return int(max(1, min(share, slots + EXTRA_OPEN_ATTEMPTS)))
+
+
+def connection_share(world: RoutingWorld, service_name: str) -> float:
+    """Return this daemon's share of the connections that a server of the service accepts."""
+    service = world.catalog.service(service_name)
     if service is None:
-        return slots + EXTRA_OPEN_ATTEMPTS
-    share = int(CONNECTION_SHARE * service.max_connections * world.share(task.service))
-    return max(1, min(share, slots + EXTRA_OPEN_ATTEMPTS))
+        return float("inf")
+    return CONNECTION_SHARE * service.max_connections * world.share(service_name)
+
+
+def keeps_connection(world: RoutingWorld, attempt: Attempt) -> bool:
+    """Return whether the connection of an ended attempt is kept for further requests.
+
+    Load pattern: a fleet with more daemons than a server accepts connections, each of which sends
+    the server a request now and then. Idle connections would use up the limit, and the server
+    would reset the connections of those who have a request.
+    """
+    return connection_share(world, attempt.task.service) >= 1.0
 
 
 def _choose(
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -346,3 +346,26 @@
             assert read_response(stream)[0] == 400
             assert read_response(stream) is None
         assert daemon.gateway.world.counters["refusal.malformed"] == 1
+
+
+@pytest.mark.parametrize(("max_connections", "expected"), [(1, 3), (100, 1)])
+def test_connections_are_not_kept_at_a_server_that_accepts_fewer_than_there_are_daemons(
+    max_connections, expected
+):
+    ports = set()
+
+    def answer(environ, start_response):
+        ports.add(environ["REMOTE_PORT"])
+        headers = [("X-Marigoldwalk-Response-Stamp", "stamp"), ("Content-Length", "2")]
+        start_response("200 OK", headers)
+        return [b"ok"]
+
+    with deployment(servers={"s-1": [StandinServer("i-1", answer=answer)]}) as (daemon, store):
+        record = config_record(2, [route_record()], ["s-1"])
+        record["services"][0]["max-connections"] = max_connections
+        store.put("op/config", record)
+        wait_until(lambda: daemon.gateway.world.catalog.config.version == 2)
+        # A daemon that knows no other one assumes seven.
+        responses = ask(daemon, *(request(request_id=f"q-{n}") for n in range(3)))
+    assert [status for status, _, _ in responses] == [200] * 3
+    assert len(ports) == expected
--- /dev/null
+++ b/tests/routing/test_sending.py
@@ -0,0 +1,29 @@
+from __future__ import annotations
+
+import pytest
+
+from marigoldwalk.routing.exchanges import Attempt, Exchange
+from marigoldwalk.routing.sending import keeps_connection, open_attempts_limit
+
+from .simulation import Simulation, single_route
+
+
+@pytest.mark.parametrize(
+    ("members", "max_connections", "expected"),
+    [(6, 25, True), (9, 26, True), (195, 1200, True), (195, 120, False), (84, 64, False)],
+)
+def test_idle_connections_are_kept_only_if_all_daemons_may_have_one(
+    members, max_connections, expected
+):
+    simulation = Simulation(
+        [single_route()],
+        {"a": ("s-1", "north")},
+        members=members,
+        max_connections=max_connections,
+    )
+    exchange = simulation.ask()
+    assert isinstance(exchange, Exchange)
+    (task,) = exchange.tasks
+    attempt = Attempt(9, task, simulation.world.catalog.rows["a"], simulation.now)
+    assert keeps_connection(simulation.world, attempt) is expected
+    assert open_attempts_limit(simulation.world, task, slots=2) >= 1
