Let delegates keep their connections whatever their share

Cause: the rule on idle connections goes by a daemon's share of a server's connections; a delegate of a fleet whose servers accept very few would open a connection for each shard of each query. Change: a delegate keeps its connections to the servers of shards. Result: the new test fails before.

--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -150,6 +150,7 @@
         world.member_count = self._membership.possible_member_count()
         self.delegation.update(world.catalog.min_shard_connections, self._clock.now())
         world.shard_share = self.delegation.shard_share
+        world.is_delegate = self.delegation.is_delegate
 
     @property
     def caller_address(self) -> Address:
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -71,14 +71,19 @@
         self.delegates = {report.name: report for report in own}
         remote = (report for reports in by_domain.values() for report in reports)
         self.remote_delegates = {report.name: report for report in remote}
-        if self.membership.own.name in self.delegates:
+        if self.is_delegate:
             self.shard_share = DELEGATE_SHARE / total
         else:
             self.shard_share = (1 - DELEGATE_SHARE) / members
 
+    @property
+    def is_delegate(self) -> bool:
+        """Whether this daemon executes the queries of others."""
+        return self.membership.own.name in self.delegates
+
     def choose(self, now: float) -> MemberReport | None:
         """Return the daemon that should execute a query, or ``None`` for this daemon."""
-        if not self.is_needed or self.membership.own.name in self.delegates:
+        if not self.is_needed or self.is_delegate:
             return None
         usable = self._usable(self.delegates, now) or self._usable(self.remote_delegates, now)
         return min(usable, key=self._load, default=None)
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -213,9 +213,12 @@
 
     Load pattern: a fleet with more daemons than a server accepts connections, each of which sends
     the server a request now and then. Idle connections would use up the limit, and the server
-    would reset the connections of those who have a request.
+    would reset the connections of those who have a request. The delegates use theirs all the time.
     """
-    return connection_share(world, attempt.task.service) >= 1.0
+    service = attempt.task.service
+    if world.is_delegate and service in world.catalog.shards:
+        return True
+    return connection_share(world, service) >= 1.0
 
 
 def _choose(
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -50,6 +50,8 @@
         self.shard_share = 1.0
         """This daemon's share of the fleet-wide limits for the servers of shards."""
         self.admission = Admission()
+        self.is_delegate = False
+        """Whether this daemon executes the fan-out queries of other daemons."""
         self.answer_lag = AnswerLagTracker()
         self.catalog = Catalog()
         self.splits = SplitChooser()
--- a/tests/routing/test_sending.py
+++ b/tests/routing/test_sending.py
@@ -5,7 +5,7 @@
 from marigoldwalk.routing.exchanges import Attempt, Exchange
 from marigoldwalk.routing.sending import keeps_connection, open_attempts_limit
 
-from .simulation import Simulation, single_route
+from .simulation import Simulation, fan_out_route, single_route
 
 
 @pytest.mark.parametrize(
@@ -27,3 +27,14 @@
     attempt = Attempt(9, task, simulation.world.catalog.rows["a"], simulation.now)
     assert keeps_connection(simulation.world, attempt) is expected
     assert open_attempts_limit(simulation.world, task, slots=2) >= 1
+
+
+def test_a_delegate_keeps_its_connections_to_shards_whatever_its_share():
+    simulation = Simulation(
+        [fan_out_route(["s-1"])], {"a": ("s-1", "north")}, members=24, max_connections=6
+    )
+    (task,) = simulation.ask("/all/1").tasks
+    attempt = Attempt(9, task, simulation.world.catalog.rows["a"], simulation.now)
+    assert not keeps_connection(simulation.world, attempt)
+    simulation.world.is_delegate = True
+    assert keeps_connection(simulation.world, attempt)
