Let a limit recover after a burst although few requests come

Cause: a window with fewer than 24 tasks in 1.5 s was discarded, so a limit that a burst had decreased stayed low for a service that usually gets fewer requests than that, and refused some of them for good. Change: such a window lets the limit grow if its usual task was no sign of an overload.

--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -6,8 +6,9 @@
 that tasks take: a few slow servers do not move it, an overload of all of them does. A query is
 admitted with all its shards or refused before any server has received a part of it.
 
-While the limit binds, the less urgent priorities are refused first, but never more than twice as
-often as the most urgent one. Callers that come back after a refusal are admitted before new ones.
+While the limit binds, the less urgent priorities are refused first, until they are admitted less
+than half as often as the most urgent one. Callers that come back after a refusal are admitted
+before new ones.
 """
 
 from __future__ import annotations
@@ -34,7 +35,7 @@
 MIN_TASKS = 24
 """Minimum number of tasks in a window."""
 MAX_WINDOW_S = 1.5
-"""Length at which a window without enough tasks is discarded."""
+"""Length at which a window ends without enough tasks; it never decreases the limit."""
 FAN_OUT_SHARE = 0.25
 """Fraction of a route's target that a usual task of a query may take without an overload. The
 slowest shard takes two to three times as long as the usual one."""
@@ -136,20 +137,32 @@
     def record_wait(self, ratio: float, now: float) -> None:
         """Record a task that took *ratio* times as long as one does when an overload begins."""
         if now - self._started_at > MAX_WINDOW_S:
+            self._end_sparse_window()
             self._begin_window(now)
         self._ratios.append(ratio)
         if len(self._ratios) >= MIN_TASKS and now - self._started_at >= WINDOW_S:
             self._adjust()
             self._begin_window(now)
 
+    def _end_sparse_window(self) -> None:
+        """Grow the limit after a window with few tasks, so that it recovers after a burst."""
+        if not self._ratios or self._usual_ratio() <= 1.0:
+            self._grow()
+
+    def _usual_ratio(self) -> float:
+        return sorted(self._ratios)[len(self._ratios) // 2]
+
+    def _grow(self) -> None:
+        self.limit = min(INITIAL_LIMIT, self.limit + max(1.0, GROWTH * self.limit))
+
     def _adjust(self) -> None:
-        usual = sorted(self._ratios)[len(self._ratios) // 2]
+        usual = self._usual_ratio()
         was_overloaded, self._was_overloaded = self._was_overloaded, usual > 1.0
         if usual > CLEAR_OVERLOAD or (was_overloaded and usual > 1.0):
             factor = min(max(1.0 / usual, MIN_DECREASE), MAX_DECREASE)
             self.limit = max(MIN_LIMIT, min(self.limit, self._peak) * factor)
         elif self._is_binding or self._peak >= self.limit:
-            self.limit = min(INITIAL_LIMIT, self.limit + max(1.0, GROWTH * self.limit))
+            self._grow()
 
     def _begin_window(self, now: float) -> None:
         self._started_at = now
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -153,3 +153,19 @@
     ids = load.offer(15.0, 20.0, "/one/1", 6.0)
     load.simulation.run(26.0)
     assert load.refused(ids) == []
+
+
+def test_a_limit_recovers_although_too_few_requests_come_to_fill_a_window():
+    limit = ConcurrencyLimit(limit=MIN_LIMIT)
+    for number in range(100):
+        limit.record_wait(0.4, number * 0.2)
+    assert limit.limit > 10.0
+
+
+def test_a_limit_does_not_grow_in_an_overload_of_few_slow_requests():
+    limit = ConcurrencyLimit()
+    limit.record_wait(3.0, 0.0)
+    limit.limit = 5.0
+    for number in range(1, 100):
+        limit.record_wait(3.0, number * 0.2)
+    assert limit.limit <= 5.0
