--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -34,8 +34,11 @@
 """Minimum length of the window of tasks from which the limit is adjusted."""
 MIN_TASKS = 24
 """Minimum number of tasks in a window."""
+MIN_EXCHANGES = 5
+"""Minimum number of exchanges that end in a window. The tasks of one query share its delays, so
+many tasks of few queries are no sign of an overload."""
 MAX_WINDOW_S = 1.5
-"""Length at which a window ends without enough tasks; it never decreases the limit."""
+"""Length at which a window ends without enough of both; it never decreases the limit."""
 FAN_OUT_SHARE = 0.25
 """Fraction of a route's target that a usual task of a query may take without an overload. The
 slowest shard takes two to three times as long as the usual one."""
@@ -98,6 +101,7 @@
     limit: float = INITIAL_LIMIT
     open_count: int = 0
     _peak: int = 0
+    _ended_count: int = 0
     _is_binding: bool = False
     _was_overloaded: bool = False
     _started_at: float = float("-inf")
@@ -133,6 +137,7 @@
     def record_end(self) -> None:
         """Record the end of an admitted exchange."""
         self.open_count -= 1
+        self._ended_count += 1
 
     def record_wait(self, ratio: float, now: float) -> None:
         """Record a task that took *ratio* times as long as one does when an overload begins."""
@@ -140,7 +145,8 @@
             self._end_sparse_window()
             self._begin_window(now)
         self._ratios.append(ratio)
-        if len(self._ratios) >= MIN_TASKS and now - self._started_at >= WINDOW_S:
+        is_complete = len(self._ratios) >= MIN_TASKS and self._ended_count >= MIN_EXCHANGES
+        if is_complete and now - self._started_at >= WINDOW_S:
             self._adjust()
             self._begin_window(now)
 
@@ -168,6 +174,7 @@
         self._started_at = now
         self._ratios.clear()
         self._peak = self.open_count
+        self._ended_count = 0
         self._is_binding = False
         for demand in self._demand.values():
             demand.offered *= COUNT_DECAY
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -169,3 +169,17 @@
     for number in range(1, 100):
         limit.record_wait(3.0, number * 0.2)
     assert limit.limit <= 5.0
+
+
+def test_two_slow_queries_over_many_shards_refuse_nobody():
+    # A delegate of a large fleet runs few queries at a time, each over many shards.
+    limit = ConcurrencyLimit()
+    now = 0.0
+    for _ in range(2):
+        limit.admits(1, is_returning=False)
+        limit.record_start()
+        for _ in range(90):
+            now += 0.003
+            limit.record_wait(1.8, now)
+        limit.record_end()
+    assert limit.limit == INITIAL_LIMIT
