Raise the latency at which an overload of wide queries is seen

Cause: at delegates, the tasks of a query over 90 shards wait for the processor, so their usual time is often over 1.4 times its lowest value.

--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -44,7 +44,7 @@
 slowest shard takes two to three times as long as the usual one."""
 SINGLE_SHARE = 0.6
 """The same for requests to one service."""
-FLOOR_FACTOR = 1.4
+FLOOR_FACTOR = 2.0
 """The same as a multiple of the route's latency without load, for long service times."""
 SHED_RATIO = 2.0
 """Ratio that a shed attempt counts as, compared with the time at which an overload begins."""
