Simplify the check of servers that had left and name the bounds of a decrease

Cause: a registered server is never among the departed ones, so the check for it was redundant; the names MIN_DECREASE and MAX_DECREASE were those of factors, the second one without a word on it. Behaviour stays.

--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -51,9 +51,10 @@
 CLEAR_OVERLOAD = 2.0
 """Ratio at which one window is enough to decrease the limit. Below it, two in a row are needed, so
 that a few requests that happen to arrive together refuse nobody."""
-MIN_DECREASE = 0.5
+LOWEST_FACTOR = 0.5
 """Lowest factor by which the limit is decreased after one window."""
-MAX_DECREASE = 0.95
+HIGHEST_FACTOR = 0.95
+"""Highest one, so that a slight overload decreases the limit too."""
 GROWTH = 0.1
 """Fraction by which the limit grows after a window without an overload in which it was reached."""
 NEW_CALLER_SHARE = 0.9
@@ -165,7 +166,7 @@
         usual = self._usual_ratio()
         was_overloaded, self._was_overloaded = self._was_overloaded, usual > 1.0
         if usual > CLEAR_OVERLOAD or (was_overloaded and usual > 1.0):
-            factor = min(max(1.0 / usual, MIN_DECREASE), MAX_DECREASE)
+            factor = min(max(1.0 / usual, LOWEST_FACTOR), HIGHEST_FACTOR)
             self.limit = max(MIN_LIMIT, min(self.limit, self._peak) * factor)
         elif self._is_binding or self._peak >= self.limit:
             self._grow()
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -113,11 +113,9 @@
     def had_left(self, registration: Registration) -> bool:
         """Return whether the server was removed and *registration* is not newer than that."""
         departed = self._departed.get(registration.server_id)
-        return (
-            departed is not None
-            and registration.server_id not in self.rows
-            and _version_of(registration) <= _version_of(departed.registration)
-        )
+        if departed is None:
+            return False
+        return _version_of(registration) <= _version_of(departed.registration)
 
     def mark_removed(self, server_id: str, drop_at: float) -> None:
         """Drop a server at *drop_at* unless it registers again, since it may still be alive."""
