--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gevent
 import pytest
 
 from marigoldwalk.gateway.store_interface import (
@@ -15,8 +16,10 @@
     UpdateBatch,
 )
 from marigoldwalk.routing.era_change import SETTLE_S
+from standins.gateway_backends import config_record, route_record
 
 from ..routing.simulation import registration, routing_config, single_route
+from .daemons import ask, deployment, request, wait_until
 from .scripted_store import (
     HISTORY_LOST,
     OneReader,
@@ -26,6 +29,9 @@
     servers,
 )
 
+APPLY_S = 3.0
+"""Time within which a configuration must be in force."""
+
 ERA_CHANGED = EraChangedError("the store was restored")
 
 
@@ -228,3 +234,16 @@
     watcher.poll()
     assert readers.failures == [readers.address]
     assert watcher._counters["store.earlier_era"] == 1
+
+
+def test_route_added_after_a_restore_is_not_refused_as_unknown():
+    # The store gives a revision out again that the daemon had read before the restore.
+    added = [route_record(), route_record("/new/")]
+    with deployment() as (daemon, store):
+        for number in range(20):
+            store.put(f"servers/i-gone-{number}", b"{}")
+        wait_until(lambda: daemon.gateway.world.counters["registration.unreadable"] == 20)
+        store.restore(20)
+        store.put("op/config", config_record(2, added, ["s-1"]))
+        gevent.sleep(APPLY_S)
+        assert ask(daemon, request("/new/1"))[0][0] == 200
