Reproduce a request that is sent on after three servers have crashed under it

Evidence: six daemons in virtual time, a content that crashes each server, 3 other requests a second.

--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -172,14 +172,18 @@
     def _send(self, attempt):
         server_id = attempt.row.server_id
         self.sent.append((self.now, server_id, attempt.task.exchange.request.request_id))
-        script = self.scripts[server_id]
-        script.sends.append(self.now)
-        answer = script.answer()
-        delay_s, outcome = answer(self.now) if callable(answer) else answer
+        delay_s, outcome = self._answer(attempt)
         if outcome is not None:
             self.schedule(self.now + delay_s, lambda: self._end(attempt, outcome))
         self._arm(attempt.task.exchange)
 
+    def _answer(self, attempt):
+        """Return the delay and the outcome of an attempt."""
+        script = self.scripts[attempt.row.server_id]
+        script.sends.append(self.now)
+        answer = script.answer()
+        return answer(self.now) if callable(answer) else answer
+
     def _end(self, attempt, outcome):
         if not attempt.is_open:
             return
--- /dev/null
+++ b/tests/routing/test_crashing_content.py
@@ -0,0 +1,62 @@
+"""Load pattern: a request that crashes each server that starts it is repeated at any daemon."""
+
+from __future__ import annotations
+
+import pytest
+
+from .crashing_fleet import CrashingFleet, CrashingServer
+from .simulation import fan_out_route, single_route
+
+DOMAINS = ["north", "north", "north", "centre", "centre", "south"]
+STABILITY_S = 4.0
+"""Time after the third crash from which at most ``MAX_RETRIES`` requests may reach servers."""
+MAX_RETRIES = 3
+DEADLY = "deadly"
+
+
+def one_service():
+    domains = ("north", "north", "north", "centre", "centre", "south", "south")
+    servers = [
+        CrashingServer(f"i-{n}", "s-1", domain, {DEADLY}, work_s=0.16)
+        for n, domain in enumerate(domains)
+    ]
+    return single_route(timeout_s=6.0, target_s=0.6), servers, 0.4
+
+
+def twenty_shards():
+    servers = [
+        CrashingServer(f"i-{n}-{domain}", f"s-{n}", domain, {DEADLY}, work_s=0.03)
+        for n in range(20)
+        for domain in ("north", "centre")
+    ]
+    shards = [f"s-{n}" for n in range(20)]
+    return fan_out_route(shards, prefix="/one/", timeout_s=1.5, target_s=0.18), servers, 1.0
+
+
+def play(fleet, deadly_per_s, others_per_s, for_s=25.0):
+    """Send the deadly content and other requests to random daemons."""
+    end = fleet.now + for_s
+    deadly_at, other_at = fleet.now + 2.0, fleet.now
+    number = 0
+    while fleet.now < end:
+        fleet.run(0.02)
+        number += 1
+        daemon = fleet.rng.choice(fleet.daemons)
+        if fleet.now >= deadly_at:
+            deadly_at += fleet.rng.expovariate(deadly_per_s)
+            daemon.ask("/one/x", f"deadly-{number}", fingerprint=DEADLY)
+        elif fleet.now >= other_at:
+            other_at += fleet.rng.expovariate(others_per_s)
+            daemon.ask("/one/y", f"other-{number}", fingerprint=f"f-{number}")
+
+
+@pytest.mark.parametrize("seed", [0, 3, 5])
+@pytest.mark.parametrize("scene", [one_service, twenty_shards])
+def test_request_that_crashed_three_servers_is_not_sent_on(scene, seed):
+    route, servers, deadly_per_s = scene()
+    fleet = CrashingFleet([route], servers, DOMAINS, seed)
+    play(fleet, deadly_per_s, others_per_s=3.0)
+    assert len(fleet.crashes) >= 3
+    known_at = fleet.crashes[2] + STABILITY_S
+    retries = [name for name, time in fleet.sends("deadly-").items() if time > known_at]
+    assert len(retries) <= MAX_RETRIES
