Bound what a reply without end may send and hold

Cause: only the size of one body was bounded. A header, trailers, a chunk extension, interim replies and replies to other requests were read until the caller's deadline, and bodies of several servers added up. Change: bytes outside of bodies are bounded for each request, bodies are added up over skipped replies, and incomplete replies share a memory of 32 MiB beyond 64 KiB each.

--- a/marigoldwalk/gateway/connection.py
+++ b/marigoldwalk/gateway/connection.py
@@ -37,7 +37,15 @@
 IDLE_TIMEOUT_RATIO = 0.6
 """Fraction of the server's idle timeout during which a connection is reused."""
 MAX_REPLY_BYTES = 8 * 1024 * 1024
-"""Maximum body size of a reply; users' replies are far smaller."""
+"""Maximum size of the bodies received for one request; users' replies are far smaller."""
+MAX_OVERHEAD_BYTES = 32 * 1024
+"""Maximum number of bytes received for one request that belong to no body."""
+MAX_OVERHEAD_RATIO = 8
+"""Number of further such bytes allowed for each byte of a body, for bodies in small chunks."""
+SMALL_REPLY_BYTES = 64 * 1024
+"""Size up to which a reply is read even if the memory for replies is used up."""
+MAX_MEMORY_BYTES = 32 * 1024 * 1024
+"""Memory for incomplete replies; the smallest machines have 200 MB."""
 
 _READ = 1
 _WRITE = 2
@@ -54,6 +62,18 @@
     CLOSED = "closed"
 
 
+class ReplyMemory:
+    """Memory that the incomplete replies of several connections share.
+
+    Load pattern: many servers send bodies without end at the same time. Each of them stays below
+    the limit for one reply, but together they would exceed the memory of a small machine.
+    """
+
+    def __init__(self, limit_bytes: int = MAX_MEMORY_BYTES) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+
 class ServerConnection:
     """An HTTP connection that handles one request at a time.
 
@@ -61,13 +81,21 @@
     complete responses are delivered. Data after a response closes the connection.
     """
 
-    def __init__(self, address: Address, on_idle_close: Callable[[ServerConnection], None]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        on_idle_close: Callable[[ServerConnection], None],
+        memory: ReplyMemory,
+    ) -> None:
         self.address = address
         self.state = ConnectionState.CONNECTING
         self.last_request_id = ""
         self.idle_since = 0.0
         self.idle_timeout_s = IDLE_TIMEOUT_RATIO * DEFAULT_IDLE_TIMEOUT_S
         self._on_idle_close = on_idle_close
+        self._memory = memory
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._decode: Callable[[RawReply], ServerReply | None] | None = None
         self._outgoing = b""
         self._on_outcome: Callable[[Outcome], None] | None = None
@@ -159,7 +187,7 @@
         self._is_framed = False
         self._keep_alive = False
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._received_bytes = 0
         self._response_count = 0
         self._completed: list[RawReply] = []
         self._write()
@@ -201,6 +229,7 @@
         if not data:
             self._on_end_of_stream()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -210,8 +239,8 @@
 
     def _deliver(self) -> None:
         """Deliver a complete response, skipping late responses to earlier requests."""
-        if self._body_bytes > MAX_REPLY_BYTES:
-            self._fail(LossReason.MALFORMED, "the reply is too large")
+        if (problem := self._size_problem()) is not None:
+            self._fail(LossReason.MALFORMED, problem)
             return
         if not self._completed:
             return
@@ -226,7 +255,24 @@
             self._finish(reply, is_in_sync and self._keep_alive)
             return
 
+    def _size_problem(self) -> str | None:
+        """Return why the data received for the request is too large, or ``None``."""
+        if self._body_bytes > MAX_REPLY_BYTES:
+            return "the reply is too large"
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if overhead_bytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes:
+            return "the reply has too much data outside its body"
+        is_full = self._memory.used_bytes > self._memory.limit_bytes
+        if is_full and self._body_bytes > SMALL_REPLY_BYTES:
+            return "the memory for incomplete replies is used up"
+        return None
+
+    def _free_memory(self) -> None:
+        self._memory.used_bytes -= self._body_bytes
+        self._body_bytes = 0
+
     def _finish(self, reply: ServerReply, is_reusable: bool) -> None:
+        self._free_memory()
         on_outcome, self._on_outcome = self._on_outcome, None
         if is_reusable:
             self.state = ConnectionState.IDLE
@@ -252,6 +298,7 @@
 
     def _close_socket(self) -> None:
         self.state = ConnectionState.CLOSED
+        self._free_memory()
         self._stop_timer()
         self._stop_watching()
         self._sock.close()
@@ -286,7 +333,6 @@
         self._response_count += 1
         self._headers = []
         self._body = []
-        self._body_bytes = 0
         self._headers_done = False
         self._is_framed = False
 
@@ -309,6 +355,7 @@
         """Store a chunk of the body."""
         self._body.append(data)
         self._body_bytes += len(data)
+        self._memory.used_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Store the response unless it is an interim (1xx) one."""
--- a/marigoldwalk/gateway/connection_pool.py
+++ b/marigoldwalk/gateway/connection_pool.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from .connection import ConnectionState, ServerConnection
+from .connection import ConnectionState, ReplyMemory, ServerConnection
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -30,6 +30,7 @@
         self._now = now
         self._counters = counters
         self._idle: dict[Endpoint, list[ServerConnection]] = {}
+        self._memory = ReplyMemory()
 
     def acquire(
         self, endpoint: Endpoint, request_id: str, may_reuse: bool = True
@@ -59,7 +60,9 @@
     def create(self, endpoint: Endpoint) -> ServerConnection:
         """Return a new connection to *endpoint*, which is not open yet."""
         self._counters["connection.opened"] += 1
-        return ServerConnection(endpoint.address, lambda closed: self._discard(endpoint, closed))
+        return ServerConnection(
+            endpoint.address, lambda closed: self._discard(endpoint, closed), self._memory
+        )
 
     def release(self, endpoint: Endpoint, connection: ServerConnection) -> None:
         """Return *connection* to the pool if it is idle; otherwise do nothing."""
--- a/tests/gateway/backend.py
+++ b/tests/gateway/backend.py
@@ -4,7 +4,7 @@
 
 from gevent.event import AsyncResult
 
-from marigoldwalk.gateway.connection import ServerConnection
+from marigoldwalk.gateway.connection import ReplyMemory, ServerConnection
 
 from ..daemon.scripted import TEST_TIMEOUT_S
 
@@ -34,4 +34,4 @@
 
 
 def open_connection(address):
-    return ServerConnection(address, lambda connection: None)
+    return ServerConnection(address, lambda connection: None, ReplyMemory())
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -2,8 +2,12 @@
 
 import gevent
 import pytest
+from gevent.pool import Pool
+from gevent.server import StreamServer
 
-from marigoldwalk.gateway.connection import ConnectionState
+from marigoldwalk.config.view import Address
+from marigoldwalk.gateway import connection as connection_module
+from marigoldwalk.gateway.connection import MAX_REPLY_BYTES, ConnectionState, ReplyMemory
 from marigoldwalk.routing.exchanges import LossReason
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
@@ -122,3 +126,86 @@
         server.request_received.wait(TEST_TIMEOUT_S)
         connection.close()
     assert [outcome.reason for outcome in outcomes] == [LossReason.ABANDONED]
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+OTHER_REPLY = response(b"z" * 100, request_id="q-other")
+ENDLESS_REPLIES = {
+    "status line": (b"HTTP/1.1 200 ", b"x" * 4096),
+    "header": (HEAD + b"X-Long: ", b"x" * 4096),
+    "headers": (HEAD, b"X-Many: 1\r\n" * 400),
+    "body": (HEAD + b"Content-Length: 9000000000\r\n\r\n", b"x" * 4096),
+    "body without length": (HEAD + b"\r\n", b"x" * 4096),
+    "chunks": (CHUNKED, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "chunk extension": (CHUNKED + b"1;x=", b"x" * 4096),
+    "trailers": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-Many: 1\r\n" * 400),
+    "interim replies": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "replies to other requests": (b"", OTHER_REPLY * 30),
+}
+SENT_AHEAD_BYTES = 16 * 1024 * 1024
+"""Upper bound on the bytes in the buffers of both sockets."""
+
+
+class EndlessServer:
+    """A server that sends *start* and then *piece* until the connection is closed."""
+
+    def __init__(self, start, piece):
+        self.sent_bytes = 0
+        self._start = start
+        self._piece = piece
+        self._server = StreamServer(("127.0.0.1", 0), self._serve, spawn=Pool())
+        self._server.start()
+        self.address = Address("127.0.0.1", self._server.server_port)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _peer):
+        data = self._start + self._piece
+        try:
+            with sock:
+                sock.recv(4096)
+                while True:
+                    sock.sendall(data)
+                    self.sent_bytes += len(data)
+                    data = self._piece
+        except OSError:
+            return
+
+
+@pytest.mark.parametrize("name", ENDLESS_REPLIES)
+def test_endless_reply_closes_the_connection(name):
+    with EndlessServer(*ENDLESS_REPLIES[name]) as server:
+        connection = open_connection(server.address)
+        outcome = exchange(connection)
+        assert outcome.reason is LossReason.MALFORMED
+        assert outcome.may_have_run
+        assert connection.state is ConnectionState.CLOSED
+        assert server.sent_bytes <= MAX_REPLY_BYTES + SENT_AHEAD_BYTES
+
+
+def test_large_replies_share_a_bounded_memory():
+    memory = ReplyMemory(limit_bytes=4 * 1024 * 1024)
+    outcomes = []
+    with EndlessServer(*ENDLESS_REPLIES["body"]) as server:
+        for _ in range(12):
+            connection = connection_module.ServerConnection(server.address, lambda _: None, memory)
+            connection.request(b"GET /x HTTP/1.1\r\n\r\n", outcomes.append, decode)
+        with gevent.Timeout(TEST_TIMEOUT_S):
+            while len(outcomes) < 12:
+                assert memory.used_bytes <= memory.limit_bytes + 12 * connection_module.READ_BYTES
+                gevent.sleep(0.001)
+    assert {outcome.reason for outcome in outcomes} == {LossReason.MALFORMED}
+    assert memory.used_bytes == 0
+
+
+def test_small_reply_is_read_although_the_memory_is_used_up():
+    memory = ReplyMemory(limit_bytes=0)
+    with scripted(response(b"mine")) as server:
+        connection = connection_module.ServerConnection(server.address, lambda _: None, memory)
+        assert exchange(connection).body == b"mine"
+    assert memory.used_bytes == 0
