--- a/tests/gateway/test_crashing_servers.py
+++ b/tests/gateway/test_crashing_servers.py
@@ -6,10 +6,14 @@
 from gevent.server import StreamServer
 
 from marigoldwalk.config.view import Address
-from standins.gateway_backends import StandinServer
+from marigoldwalk.gateway.frontend import _fingerprint
+from marigoldwalk.routing.delegation import Delegation
+from marigoldwalk.routing.membership import MemberReport
+from marigoldwalk.routing.suspects import Crash, Evidence
+from standins.gateway_backends import StandinServer, route_record
 
 from ..daemon.scripted import read_request
-from .daemons import ask, deployment, request
+from .daemons import Daemon, ask, deployment, request
 
 
 class ClosingServer:
@@ -73,3 +77,24 @@
         sends = daemon.gateway.world.counters["send.own_domain"]
     assert len(closing.requests) == sends
     assert closing.connections == sends + 1
+
+
+def test_query_that_a_delegate_refuses_for_crashes_is_not_sent_by_the_forwarding_daemon(
+    monkeypatch,
+):
+    servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
+    shards = {"service": None, "fanout-services": ["s-1"], "top-k": 4, "min-coverage": 0.5}
+    crashes = tuple(Crash(f"i-{n}", "s-1", f"q-old-{n}", is_trial=True) for n in range(3))
+    with deployment([route_record("/all/", **shards)], servers) as (daemon, store):
+        delegate = Daemon(store)
+        delegate.wait_until_ready()
+        evidence = Evidence(_fingerprint("GET", "/all/1", b""), crashes)
+        delegate.gateway.world.suspects.merge([evidence], delegate.gateway._clock.now())
+        address = delegate.gateway.peer_address
+        chosen = MemberReport("m-delegate", address, 1, 1, "north", 1.0)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
+        status, headers, _ = ask(daemon, request("/all/1"))[0]
+        delegate.kill()
+    assert status == 503
+    assert float(headers["retry-after"]) > 0
+    assert servers["s-1"][0].requests == []
