Ask the next reader without a wait after one was silent

Callers saw (suspected, not shown by the record): a request refused as only an older version would have it, longer after the acknowledgement of a newer one than the platform allows. Cause: a follower noticed a silent reader after 1.8 s and waited as long for the next one. With two readers that lose power together it followed a change after 3.6 s; 3 s are allowed. Change: the first call to another reader waits for no change, so that a silent one is noticed after 0.8 s.

--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -82,6 +82,8 @@
         """When the store itself last answered."""
         self._store = store
         self._mirrors: dict[Address, Store] = {}
+        self._source: Address | None = None
+        """The reader of the last call; ``None`` for the store itself."""
         self._readers = readers
         self._catalog = catalog
         self._now = now
@@ -120,6 +122,8 @@
         The first read goes to the store, since a daemon that starts knows no others yet.
         """
         address = self._readers.choose(self._now()) if self._has_snapshot else None
+        is_new_source = address != self._source
+        self._source = address
         if address is None:
             self._poll_store(self._store)
             return
@@ -127,7 +131,7 @@
         if mirror is None:
             mirror = self._mirrors[address] = self._store.mirror_at(address)
         try:
-            self._poll_mirror(mirror)
+            self._poll_mirror(mirror, 0.0 if is_new_source else WATCH_TIMEOUT_S)
         except StoreError as exc:
             self._count_earlier_era(exc)
             self._counters["store.reader_failed"] += 1
@@ -142,9 +146,14 @@
         if reader is not None and self._readers.is_avoided(reader, now):
             gevent.sleep(READER_RETRY_S * random.uniform(0.7, 1.0))
 
-    def _poll_mirror(self, mirror: Store) -> None:
+    def _poll_mirror(self, mirror: Store, wait_s: float) -> None:
+        """Watch *mirror*; a new source is asked without a wait, since it may be silent as well.
+
+        Load pattern: several readers lose power at the same moment. A daemon that waited for each
+        of them in turn would follow a change too late.
+        """
         try:
-            self._watch(mirror)
+            self._watch(mirror, wait_s)
         except EraChangedError:
             # The store's history does not reach back into the earlier era either.
             self._read(mirror)
@@ -190,8 +199,8 @@
         self._has_snapshot = True
         logger.info("full snapshot of the store read", extra={"fields": self._state()})
 
-    def _watch(self, store: Store) -> None:
-        self._apply(store.watch(self.revision, WATCH_TIMEOUT_S))
+    def _watch(self, store: Store, wait_s: float = WATCH_TIMEOUT_S) -> None:
+        self._apply(store.watch(self.revision, wait_s))
         self._drop_removed()
         self._apply_settled()
 
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -16,8 +16,10 @@
 )
 from marigoldwalk.gateway.store_watcher import MAX_MIRROR_AGE_S, REREGISTRATION_S, StoreWatcher
 from marigoldwalk.platform.mirror import Mirror
-from marigoldwalk.platform.store import StoreClient
+from marigoldwalk.platform.store import CALL_TIMEOUT_S, StoreClient
 from marigoldwalk.routing.catalog import Catalog
+from marigoldwalk.routing.membership import MemberReport, Membership
+from marigoldwalk.routing.readers import Readers
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
 from ..routing.simulation import routing_config, single_route
@@ -31,6 +33,9 @@
     servers,
 )
 
+APPLY_S = 3.0
+"""Time within which a configuration must be in force."""
+
 
 def test_full_snapshot_removes_servers_that_it_does_not_contain(clock):
     watcher, catalog = make_watcher(
@@ -273,3 +278,40 @@
         watcher.poll()
     assert len(pauses) == 9
     assert all(0.1 < pause <= watcher_module.READER_RETRY_S for pause in pauses)
+
+
+class SilentMirror:
+    """A mirror on a machine that has lost power: each call takes its whole timeout."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def watch(self, after, wait_s):
+        self._clock.now += wait_s + CALL_TIMEOUT_S
+        raise StoreError("timed out")
+
+
+def test_configuration_is_in_force_in_time_although_two_readers_are_silent(clock):
+    reports = [
+        MemberReport(f"r-{domain}", Address(f"r-{domain}", 1), 1, 1, domain)
+        for domain in ("north", "centre", "south")
+    ]
+    own = MemberReport("m-1", Address("m-1", 1), 1, 1, "north", cores=0.2)
+    membership = Membership(own, [], clock.now)
+    membership.merge(reports, clock.now)
+    old = UpdateBatch((ConfigUpdate(routing_config([], [], version=1)),), 5)
+    new = UpdateBatch((ConfigUpdate(routing_config([], [], version=2)),), 6)
+    readers = Readers(membership)
+    watcher, catalog = make_watcher(clock, old, new, readers=readers)
+    watcher.poll()
+    order = []
+    while len(order) < len(reports):
+        order.append(readers.choose(clock.now))
+        readers.record_failure(order[-1], clock.now)
+    readers._failed_until.clear()
+    watcher._store.mirrors = {address: SilentMirror(clock) for address in order[:2]}
+    watcher._store.mirrors[order[2]] = ScriptedStore(new)
+    acknowledged_at = clock.now
+    while catalog.config.version == 1:
+        watcher.poll()
+    assert clock.now - acknowledged_at < APPLY_S
