Repeat a health probe on a new connection if a reused one breaks

A reset proves nothing, so the evidence waited for the next probe, 0.5 s later (traced: crash at 2192.79, evidence at 2193.29), and a third trial of the content ran meanwhile. Change: a probe whose connection breaks is sent again on a new one, so that a refusal is seen at once. Result: the new test of tests/daemon/test_backends.py fails without the change.

--- a/marigoldwalk/daemon/backend_pool.py
+++ b/marigoldwalk/daemon/backend_pool.py
@@ -55,6 +55,11 @@
                 return conn
             conn.close()
             self._on_disconnect(address)
+        return self.create(address)
+
+    @staticmethod
+    def create(address: Address) -> GeventConnection:
+        """Return a new connection that is not yet open."""
         return GeventConnection(address.host, address.port, timeout=None)
 
     def release(self, address: Address, conn: GeventConnection, max_idle: int) -> None:
--- a/marigoldwalk/daemon/backends.py
+++ b/marigoldwalk/daemon/backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -176,9 +177,10 @@
         path: str,
         body: bytes | None,
         progress: _Progress,
+        may_reuse: bool = True,
     ) -> Reply:
         """Send one request and return its reply."""
-        conn = self._pool.acquire(address)
+        conn = self._pool.acquire(address) if may_reuse else self._pool.create(address)
         is_complete = False
         try:
             if conn.sock is None:
@@ -206,9 +208,7 @@
     def _probe_outcome(self, action: ProbeServer) -> Event:
         try:
             with gevent.Timeout(PROBE_TIMEOUT_S):
-                response = self._exchange(
-                    action.server, action.address, "GET", "/health", None, _Progress()
-                )
+                response = self._read_health(action)
             if response.status == 200:
                 return read_health(response.body, action.server)
         except ConnectionRefusedError:
@@ -217,6 +217,21 @@
             logger.debug("health probe of server %s failed: %r", action.server, exc)
         return ProbeFailed(action.server, refused=False)
 
+    def _read_health(self, action: ProbeServer) -> Reply:
+        """Return the server's health, on a new connection if a reused one breaks.
+
+        Load pattern: a server crashes and resets its idle connections. A probe on one of them shows
+        nothing; only a new connection that is refused proves the crash at once.
+        """
+        request = (action.server, action.address, "GET", "/health", None, _Progress())
+        try:
+            return self._exchange(*request)
+        except ConnectionRefusedError:
+            raise
+        except (OSError, http.client.HTTPException) as exc:
+            logger.debug("health probe of server %s is repeated: %r", action.server, exc)
+            return self._exchange(*request, may_reuse=False)
+
     def _close_expired(self) -> None:
         while True:
             gevent.sleep(SWEEP_INTERVAL_S)
--- a/tests/daemon/test_backends.py
+++ b/tests/daemon/test_backends.py
@@ -174,3 +174,15 @@
 ):
     backends.probe(ProbeServer("s-1", closed_address))
     assert inbox.next() == ProbeFailed("s-1", refused=True)
+
+
+def test_probe_on_a_connection_that_the_server_has_just_closed_is_repeated_on_a_new_one(
+    backends, inbox
+):
+    health = {"incarnation": "s-1/1", "draining": False, "cold": False, "holdings": []}
+    restarted = health | {"incarnation": "s-1/2"}
+    with scripted(http_reply(health), None, http_reply(restarted)) as server:
+        for incarnation in ("s-1/1", "s-1/2"):
+            backends.probe(ProbeServer("s-1", server.address))
+            assert inbox.next() == ProbeReply("s-1", incarnation, False, False, ())
+        assert server.connections == 2
