--- a/marigoldwalk/core/systems/entry_trials.py
+++ b/marigoldwalk/core/systems/entry_trials.py
@@ -67,6 +67,10 @@
     row = world.queries.get(event.query)
     if row is None or not row.on_trial or event.trials != len(row.tried):
         return
+    if len(row.tasks) >= world.parameters.suspect_deaths_count:
+        # Each open trial may have crashed its server, although nobody has seen it yet.
+        world.count("trial.held")
+        return
     if _next_shard(world, row) is not None:
         world.count("trial.slow")
         start_trial(world, row)
