Count a delegate's refusals and allow the headers of queries over many shards

A delegate that refuses content that crashes servers neither counted nor logged it. The bound on bytes outside of bodies, 32 KiB, is below the header in which a delegate lists 1,000 signatures. Change: the refusal is reported; the bound is 128 KiB.

--- a/marigoldwalk/gateway/connection.py
+++ b/marigoldwalk/gateway/connection.py
@@ -38,8 +38,9 @@
 """Fraction of the server's idle timeout during which a connection is reused."""
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 """Maximum size of the bodies received for one request; users' replies are far smaller."""
-MAX_OVERHEAD_BYTES = 32 * 1024
-"""Maximum number of bytes received for one request that belong to no body."""
+MAX_OVERHEAD_BYTES = 128 * 1024
+"""Maximum number of bytes received for one request that belong to no body. The header in which a
+delegate lists the signatures of 1,000 shards takes 40 kB."""
 MAX_OVERHEAD_RATIO = 8
 """Number of further such bytes allowed for each byte of a body, for bodies in small chunks."""
 SMALL_REPLY_BYTES = 64 * 1024
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -112,10 +112,11 @@
             return self._respond(environ, start_response, parsed)
         exchange = self._router.open(parsed.request, int(version))
         if isinstance(exchange, ErrorAnswer):
+            if exchange.reason is not RefusalReason.SUSPECT_CONTENT:
+                return self._respond(environ, start_response, _DELEGATION_REFUSED)
             # The forwarding daemon may not know yet that the content crashes servers.
-            is_final = exchange.reason is RefusalReason.SUSPECT_CONTENT
-            refusal = exchange if is_final else _DELEGATION_REFUSED
-            return self._respond(environ, start_response, refusal)
+            self._reporter.refused(parsed.request, exchange)
+            return self._respond(environ, start_response, exchange)
         return self._run_locally(exchange, parsed.body, environ, start_response)
 
     def _run_locally(
--- a/tests/gateway/test_crashing_servers.py
+++ b/tests/gateway/test_crashing_servers.py
@@ -94,6 +94,7 @@
         chosen = MemberReport("m-delegate", address, 1, 1, "north", 1.0)
         monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
         status, headers, _ = ask(daemon, request("/all/1"))[0]
+        assert delegate.gateway.world.counters["refusal.suspect_content"] == 1
         delegate.kill()
     assert status == 503
     assert float(headers["retry-after"]) > 0
