Count known crashes when trials of a content are held

Cause: an entry could open a third trial after one crash was known and another trial was still open; with trials that begin at the same moment after a stall, all of them crashed their servers. Change: known crashes in trials and open trials together stay below the limit. The other tests of crashing content pass.

--- a/marigoldwalk/core/systems/entry_trials.py
+++ b/marigoldwalk/core/systems/entry_trials.py
@@ -67,7 +67,8 @@
     row = world.queries.get(event.query)
     if row is None or not row.on_trial or event.trials != len(row.tried):
         return
-    if len(row.tasks) >= world.parameters.suspect_deaths_count:
+    crash_count = suspects.trial_crash_count(world, row.fingerprint)
+    if crash_count + len(row.tasks) >= world.parameters.suspect_deaths_count:
         # Each open trial may have crashed its server, although nobody has seen it yet.
         world.count("trial.held")
         return
--- a/marigoldwalk/core/systems/suspects.py
+++ b/marigoldwalk/core/systems/suspects.py
@@ -52,6 +52,12 @@
     return row is not None and replicas in row.crashes
 
 
+def trial_crash_count(world: World, fingerprint: str) -> int:
+    """Return the number of servers that are known to have crashed in trials of the content."""
+    row = world.suspects.get(fingerprint)
+    return sum(row.crashes.get(TRIALS, {}).values()) if row is not None else 0
+
+
 def suspected_attempts(world: World, server: ServerRow) -> tuple[AttemptRow, ...]:
     """Return the attempts whose content may have crashed a lost server.
 
--- a/tests/core/test_crashing_content.py
+++ b/tests/core/test_crashing_content.py
@@ -145,3 +145,15 @@
         ask_all(fleet, CRASH)
         fleet.run(1.0)
     assert deaths(fleet) <= MAX_DEATHS
+
+
+@pytest.mark.parametrize("stall_s", [0.2, 0.25, 0.3])
+def test_slow_trials_of_one_content_crash_at_most_two_servers(stall_s):
+    # All servers stall, so that an entry's trials on several shards begin to run at one moment.
+    fleet = start_fleet()
+    end = fleet.now + stall_s
+    for server in fleet.servers.values():
+        server.draw_latency_s = lambda _: max(0.001, end - fleet.now)
+    fleet.ask(NAMES[0], body=CRASH)
+    fleet.run(3.0)
+    assert deaths(fleet) <= MAX_DEATHS
