Send nothing to a server whose address another one has

Callers saw: repeats beyond what is allowed (BUDGET). Cause: both servers of a shard had crashed, and a server of another service got the address of one. Until the registration lapsed, every query was sent there and rejected with 421, 198 times; at the service that rejects them these are repeats. A rejection only raised the server's cost, and no other server was left. Change: a server whose address another one has is not used for 10 s or until it registers again.

--- a/marigoldwalk/routing/eligibility.py
+++ b/marigoldwalk/routing/eligibility.py
@@ -5,6 +5,9 @@
 nothing more if another one can take the attempt, and nothing at all from callers who sent their
 request later than the drain time after the reply. A server that asked for a pause receives nothing
 until the pause is over.
+
+After a crash, another server may get the address while the old registration lasts. It rejects what
+is meant for the old one, and the rejections count as repeats there, so the old one is not used.
 """
 
 from __future__ import annotations
@@ -34,7 +37,7 @@
     rows = [
         row
         for row in world.catalog.usable_servers(task.service)
-        if world.cold.allows(row, service, share, world.now)
+        if row.replaced_until <= world.now and world.cold.allows(row, service, share, world.now)
     ]
     if not rows:
         is_registered = bool(world.catalog.registered_servers(task.service))
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -135,6 +135,7 @@
     elif reply.is_misdirected:
         world.counters["reply.other_server"] += 1
         row.record_unreachable(world.now)
+        row.record_replaced(world.now)
     elif not reply.executed:
         world.counters["reply.shed"] += 1
         row.record_shed(world.now)
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -23,6 +23,9 @@
 a row."""
 UNREACHABLE_MAX_BACKOFF_S = 2.0
 """Maximum backoff after failed connections."""
+REPLACED_S = 10.0
+"""Time for which a server is not used after another one has answered at its address. It is gone, so
+the time only bounds the effect of a wrong answer."""
 SHED_WEIGHT = 0.3
 """Weight of a shed request in the failure count, so that a server that sheds part of its load is
 chosen after the others."""
@@ -57,6 +60,8 @@
     """When the server first said in a reply that it is leaving, or ``None``."""
     paused_until: float = 0.0
     """Time until which the server has asked this daemon for no requests."""
+    replaced_until: float = 0.0
+    """Time until which the server counts as gone, since its address belongs to another one."""
 
     @property
     def server_id(self) -> str:
@@ -128,6 +133,10 @@
             self.leaving_at = now
         return is_new
 
+    def record_replaced(self, now: float) -> None:
+        """Record that another server has answered at this server's address."""
+        self.replaced_until = now + REPLACED_S
+
     def record_pause(self, pause_s: float, now: float) -> None:
         """Record that the server wants no requests for *pause_s*."""
         self.paused_until = max(self.paused_until, now + pause_s)
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -60,6 +60,29 @@
     assert len(sent_to(simulation, "a")) == 1
 
 
+def test_server_whose_address_another_one_has_receives_nothing_more():
+    # Both replicas of the first shard have crashed; other servers got their addresses.
+    misdirected = (0.001, ServerReply(421, (), b"", "", False, is_misdirected=True))
+    servers = {f"i-{n}-{d}": (f"s-{n}", d, FAST) for n in (2, 3, 4) for d in ("north", "south")}
+    servers |= {f"i-1-{d}": ("s-1", d, misdirected) for d in ("north", "south")}
+    simulation = Simulation([fan_out_route(SHARDS)], servers)
+    answers = ask_every(simulation, 90, path="/all/1")
+    assert len(sent_to(simulation, "i-1-north")) == len(sent_to(simulation, "i-1-south")) == 1
+    assert all(isinstance(answer, MergedAnswer) for answer in answers)
+
+
+def test_restarted_server_is_used_although_another_one_had_its_address():
+    misdirected = (0.001, ServerReply(421, (), b"", "", False, is_misdirected=True))
+    simulation = Simulation([single_route()], {"a": ("s-1", "north", misdirected, FAST)})
+    simulation.ask("/one/1", "q-1")
+    simulation.run(1.0)
+    restarted = registration("a", started_at_ms=2000)
+    simulation.world.catalog.apply_registration(restarted, simulation.now)
+    simulation.ask("/one/1", "q-2")
+    simulation.run(1.0)
+    assert isinstance(simulation.answers["q-2"], ForwardedAnswer)
+
+
 def test_what_a_misdirected_reply_says_belongs_to_another_server():
     misdirected = ServerReply(
         421, (), b"", "", False, is_misdirected=True, is_leaving=True, pause_s=9.0
