--- a/tests/gateway/scripted_store.py
+++ b/tests/gateway/scripted_store.py
@@ -11,6 +11,9 @@
 
 from ..routing.simulation import registration
 
+APPLY_S = 3.0
+"""Time within which a configuration must be in force."""
+
 HISTORY_LOST = HistoryLostError("the history is gone")
 
 
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -6,8 +6,13 @@
 from gevent.server import StreamServer
 
 from marigoldwalk.config.view import Address
-from marigoldwalk.gateway import connection as connection_module
-from marigoldwalk.gateway.connection import MAX_REPLY_BYTES, ConnectionState, ReplyMemory
+from marigoldwalk.gateway.connection import (
+    MAX_REPLY_BYTES,
+    READ_BYTES,
+    ConnectionState,
+    ReplyMemory,
+    ServerConnection,
+)
 from marigoldwalk.routing.exchanges import LossReason
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
@@ -193,11 +198,11 @@
     outcomes = []
     with EndlessServer(*ENDLESS_REPLIES["body"]) as server:
         for _ in range(12):
-            connection = connection_module.ServerConnection(server.address, lambda _: None, memory)
+            connection = ServerConnection(server.address, lambda _: None, memory)
             connection.request(b"GET /x HTTP/1.1\r\n\r\n", outcomes.append, decode)
         with gevent.Timeout(TEST_TIMEOUT_S):
             while len(outcomes) < 12:
-                assert memory.used_bytes <= memory.limit_bytes + 12 * connection_module.READ_BYTES
+                assert memory.used_bytes <= memory.limit_bytes + 12 * READ_BYTES
                 gevent.sleep(0.001)
     assert {outcome.reason for outcome in outcomes} == {LossReason.MALFORMED}
     assert memory.used_bytes == 0
@@ -206,6 +211,6 @@
 def test_small_reply_is_read_although_the_memory_is_used_up():
     memory = ReplyMemory(limit_bytes=0)
     with scripted(response(b"mine")) as server:
-        connection = connection_module.ServerConnection(server.address, lambda _: None, memory)
+        connection = ServerConnection(server.address, lambda _: None, memory)
         assert exchange(connection).body == b"mine"
     assert memory.used_bytes == 0
--- a/tests/gateway/test_crashing_servers.py
+++ b/tests/gateway/test_crashing_servers.py
@@ -43,7 +43,7 @@
                     self._server.close()
 
 
-def refused_connections(daemon):
+def crashed_attempts(daemon):
     return daemon.gateway.world.counters["lost.crashed"]
 
 
@@ -52,7 +52,7 @@
     with deployment(servers={"s-1": servers}) as (daemon, _):
         statuses = [ask(daemon, request(request_id=f"q-{n}"))[0][0] for n in range(4)]
         other = ask(daemon, request("/one/other", request_id="q-other"))[0][0]
-        assert refused_connections(daemon) == 4 + 1
+        assert crashed_attempts(daemon) == 4 + 1
     assert statuses == [502, 502, 503, 503]
     assert other == 502
     assert [len(server.requests) for server in servers].count(0) == 1
@@ -63,7 +63,7 @@
     answering = StandinServer("i-1", b"the whole body")
     with deployment(servers={"s-1": [closing, answering]}) as (daemon, _):
         statuses = {ask(daemon, request(request_id=f"q-{n}"))[0][0] for n in range(6)}
-        assert refused_connections(daemon) == 0
+        assert crashed_attempts(daemon) == 0
         assert daemon.gateway.world.counters["suspect.crash"] == 0
     assert statuses == {200}
     assert closing.requests
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -21,6 +21,7 @@
 from ..routing.simulation import registration, routing_config, single_route
 from .daemons import ask, deployment, request, wait_until
 from .scripted_store import (
+    APPLY_S,
     HISTORY_LOST,
     OneReader,
     ScriptedStore,
@@ -29,9 +30,6 @@
     servers,
 )
 
-APPLY_S = 3.0
-"""Time within which a configuration must be in force."""
-
 ERA_CHANGED = EraChangedError("the store was restored")
 
 
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -24,6 +24,7 @@
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
 from ..routing.simulation import routing_config, single_route
 from .scripted_store import (
+    APPLY_S,
     HISTORY_LOST,
     NoReaders,
     OneReader,
@@ -33,9 +34,6 @@
     servers,
 )
 
-APPLY_S = 3.0
-"""Time within which a configuration must be in force."""
-
 
 def test_full_snapshot_removes_servers_that_it_does_not_contain(clock):
     watcher, catalog = make_watcher(
