--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -133,6 +133,7 @@
             fields = {
                 "content": fingerprint,
                 "crashes": self._suspects.crash_count(fingerprint, now),
+                "held": self._suspects.held_count(fingerprint, now),
                 "sender": message.reports[0].name if message.reports else "",
             }
             logger.info("evidence of crashes received", extra={"fields": fields})
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -100,6 +100,7 @@
             "server": server_id,
             "content": fingerprint,
             "crashes": world.suspects.crash_count(fingerprint, world.now),
+            "held": world.suspects.held_count(fingerprint, world.now),
         }
         logger.warning("server crashed while executing a request", extra={"fields": fields})
 
--- a/marigoldwalk/routing/suspects.py
+++ b/marigoldwalk/routing/suspects.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, defaultdict, deque
+from collections import Counter, OrderedDict, defaultdict, deque
 from dataclasses import dataclass, replace
 from itertools import pairwise
 from typing import TYPE_CHECKING
@@ -81,7 +81,8 @@
         suspects.is_refused("f1", now)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, counters: Counter[str] | None = None) -> None:
+        self._counters = Counter() if counters is None else counters
         self._losses: dict[str, deque[tuple[float, str, Crash]]] = {}
         self._crashes: dict[str, dict[Crash, float]] = {}
         self._harmless: OrderedDict[str, float] = OrderedDict()
@@ -134,6 +135,10 @@
         """Return the number of crashes under the content that count against it."""
         return _count(self._valid_crashes(fingerprint, now))
 
+    def held_count(self, fingerprint: str, now: float) -> int:
+        """Return the number of crashes that are kept of the content, whether they count or not."""
+        return len(self._valid_crashes(fingerprint, now))
+
     def evidence(self, now: float) -> list[Evidence]:
         """Return the evidence to send to other daemons, with its age."""
         collected = [
@@ -164,8 +169,10 @@
         crashes = self._crashes.setdefault(fingerprint, {})
         key = replace(crash, age_s=0.0)
         same_occasion = sum(known.occasion == key.occasion for known in crashes)
-        is_surplus = same_occasion >= MAX_CRASHES_PER_OCCASION
-        if key in crashes or is_surplus or len(crashes) >= MAX_CRASHES_PER_CONTENT:
+        if key in crashes:
+            return False
+        if same_occasion >= MAX_CRASHES_PER_OCCASION or len(crashes) >= MAX_CRASHES_PER_CONTENT:
+            self._counters["suspect.surplus"] += 1
             return False
         crashes[key] = crashed_at
         self._has_news = self._has_news or fingerprint not in self._harmless
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -56,8 +56,8 @@
         self.catalog = Catalog()
         self.splits = SplitChooser()
         self.cold = ColdRateLimiter(limits)
-        self.suspects = Suspects()
         self.counters: Counter[str] = Counter()
+        self.suspects = Suspects(self.counters)
         self.actions: list[Action] = []
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyTracker] = {}
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 from marigoldwalk.routing.exchanges import ErrorAnswer
 from marigoldwalk.routing.suspects import (
@@ -73,6 +74,15 @@
     assert not suspects.is_refused("f", 2.0)
 
 
+def test_crashes_that_are_not_kept_are_counted():
+    counters = Counter()
+    suspects = Suspects(counters)
+    for number in range(5):
+        crash(suspects, "f", f"i-{number}", 1.0, f"s-{number}", "q-1", is_trial=False)
+    assert suspects.held_count("f", 2.0) + counters["suspect.surplus"] == 5
+    assert suspects.crash_count("f", 2.0) == 1
+
+
 def test_content_that_runs_elsewhere_is_refused_once_it_has_crashed_three_servers_of_one_shard():
     suspects = Suspects()
     suspects.record_run("f", 1.0)
