--- a/tests/routing/crashing_fleet.py
+++ b/tests/routing/crashing_fleet.py
@@ -29,6 +29,8 @@
     domain: str
     deadly: set[str]
     work_s: float
+    crash_delay_s: float = CRASH_DELAY_S
+    """Time from the start of a deadly request to the crash."""
     up_at: float = 0.0
     incarnation: int = 1
     open_attempts: list = field(default_factory=list)
@@ -47,7 +49,7 @@
         self.arrivals.append((daemon.now, attempt.task.exchange.request.request_id))
         self.open_attempts.append((daemon, attempt))
         if attempt.task.exchange.request.fingerprint in self.deadly:
-            daemon.schedule(daemon.now + CRASH_DELAY_S, lambda: self.crash(daemon.now))
+            daemon.schedule(daemon.now + self.crash_delay_s, lambda: self.crash(daemon.now))
             return 0.0, None
         return self.work_s, server_reply()
 
--- a/tests/routing/test_crashing_content.py
+++ b/tests/routing/test_crashing_content.py
@@ -26,6 +26,15 @@
     return single_route(timeout_s=6.0, target_s=0.6), servers
 
 
+def one_service_that_crashes_late():
+    domains = ["north"] * 5 + ["centre"] * 4 + ["south"] * 4
+    servers = [
+        CrashingServer(f"i-{n}", "s-1", domain, {DEADLY}, work_s=0.16, crash_delay_s=0.5)
+        for n, domain in enumerate(domains)
+    ]
+    return single_route(timeout_s=6.0, target_s=0.6), servers
+
+
 def two_replicas():
     servers = [
         CrashingServer(f"i-{domain}", "s-1", domain, {DEADLY}, work_s=0.16)
@@ -88,6 +97,19 @@
     assert len(late_retries(fleet)) <= MAX_RETRIES
 
 
+@pytest.mark.parametrize(
+    ("deadly_per_s", "seed"),
+    [(2.0, 11), (2.0, 19), (3.0, 5), (3.0, 11), (3.0, 14), (3.0, 17), (5.0, 0), (5.0, 8)],
+)
+def test_request_is_not_sent_on_after_overlapping_sends_have_crashed_servers_late(
+    deadly_per_s, seed
+):
+    route, servers = one_service_that_crashes_late()
+    fleet = CrashingFleet([route], servers, DOMAINS, seed)
+    play(fleet, deadly_per_s, others_per_s=7.0)
+    assert len(late_retries(fleet)) <= MAX_RETRIES
+
+
 @pytest.mark.parametrize("contents", ["same", "different"])
 def test_queries_lost_with_the_servers_of_a_domain_are_completed_by_their_replicas(contents):
     route, servers = twenty_shards()
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -83,6 +83,17 @@
     assert suspects.crash_count("f", 2.0) == 1
 
 
+def test_trials_count_after_overlapping_requests_have_crashed_many_servers_together():
+    suspects = Suspects()
+    for number in range(13):
+        now = 1.0 + 0.05 * number
+        crash(suspects, "f", f"i-{number}", now, occasion=f"q-{number}", is_trial=False)
+    for number in (20, 21):
+        assert not suspects.is_refused("f", 5.0)
+        crash(suspects, "f", f"i-{number}", 5.0)
+    assert suspects.is_refused("f", 6.0)
+
+
 def test_content_that_runs_elsewhere_is_refused_once_it_has_crashed_three_servers_of_one_shard():
     suspects = Suspects()
     suspects.record_run("f", 1.0)
