Keep the crashes that decide when more are known than are kept

Cause: at most nine crashes were kept of one content, and the first ones were kept. Requests that overlap before the first crash is known filled the bound, count as one occasion, and each later trial was turned away; the count stayed at one or two. Class: a bound on kept evidence lets early, weak evidence crowd out later, stronger evidence. Change: the bound holds for each service, a new crash is always taken in, and the one that leaves is the oldest without which the others prove as much. Reports of one crash by several requests are kept once. Six crashes at a service hold three servers and three occasions, so the bound cannot lower the count below the threshold.

--- a/marigoldwalk/routing/suspects.py
+++ b/marigoldwalk/routing/suspects.py
@@ -5,6 +5,9 @@
 other ways; a server that refuses connections right afterwards has crashed. Servers that crash for
 another reason take down whatever they execute, so one occasion is no proof against the content, and
 content that has run elsewhere without harm counts as harmless. The daemons exchange their evidence.
+
+Only so much evidence is kept as decides something. Requests that overlap before the first crash is
+known are weak evidence, however many servers they take down, so they never displace later trials.
 """
 
 from __future__ import annotations
@@ -15,7 +18,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from .exchanges import Attempt
 
@@ -27,10 +30,11 @@
 """Time for which evidence is valid; callers repeat such requests for some seconds."""
 MAX_EVIDENCE_PER_DATAGRAM = 8
 """Maximum number of request contents reported in one datagram, the most harmful first."""
-MAX_CRASHES_PER_OCCASION = CRASH_THRESHOLD
-"""Maximum number of crashes kept of one occasion; more do not change any decision."""
-MAX_CRASHES_PER_CONTENT = CRASH_THRESHOLD * MAX_CRASHES_PER_OCCASION
-"""Maximum number of crashes kept of one content."""
+MAX_CRASHES_PER_SERVICE = 2 * CRASH_THRESHOLD
+"""Maximum number of crashes kept of one content at one service. As many as the threshold prove the
+number of servers and as many the number of occasions."""
+MAX_CRASHES_PER_EVIDENCE = 9
+"""Maximum number of crashes of one content in a datagram, which bounds its size."""
 MAX_HARMLESS = 4096
 """Number of contents that are remembered as harmless; the ones that ran last are kept."""
 
@@ -121,10 +125,7 @@
         if not self._is_harmless(fingerprint, now):
             return _count(crashes) >= CRASH_THRESHOLD
         # It may still crash the servers of one shard.
-        by_service: defaultdict[str, list[Crash]] = defaultdict(list)
-        for crash in crashes:
-            by_service[crash.service].append(crash)
-        return any(_count(group) >= CRASH_THRESHOLD for group in by_service.values())
+        return max(_count_by_service(crashes).values()) >= CRASH_THRESHOLD
 
     def needs_trial(self, fingerprint: str, now: float) -> bool:
         """Return whether the content must be sent to one server at a time."""
@@ -141,13 +142,16 @@
 
     def evidence(self, now: float) -> list[Evidence]:
         """Return the evidence to send to other daemons, with its age."""
-        collected = [
-            Evidence(fingerprint, crashes, self._is_harmless(fingerprint, now))
+        contents = [
+            (self._is_harmless(fingerprint, now), -_count(crashes), fingerprint)
             for fingerprint in list(self._crashes)
-            if (crashes := tuple(self._valid_crashes(fingerprint, now)))
+            if (crashes := self._valid_crashes(fingerprint, now))
+        ]
+        contents.sort(key=lambda content: content[:2])
+        return [
+            Evidence(fingerprint, _strongest(self._crashes[fingerprint], now), is_harmless)
+            for is_harmless, _, fingerprint in contents[:MAX_EVIDENCE_PER_DATAGRAM]
         ]
-        collected.sort(key=lambda evidence: (evidence.is_harmless, -_count(evidence.crashes)))
-        return collected[:MAX_EVIDENCE_PER_DATAGRAM]
 
     def merge(self, received: Iterable[Evidence], now: float) -> list[str]:
         """Merge evidence received from another daemon; return the contents with new evidence."""
@@ -168,50 +172,88 @@
         """Add a crash; return whether that is new evidence."""
         crashes = self._crashes.setdefault(fingerprint, {})
         key = replace(crash, age_s=0.0)
-        same_occasion = sum(known.occasion == key.occasion for known in crashes)
-        if key in crashes:
+        if key in crashes or _is_reported(crashes, key, crashed_at):
             return False
-        if same_occasion >= MAX_CRASHES_PER_OCCASION or len(crashes) >= MAX_CRASHES_PER_CONTENT:
+        crashes[key] = crashed_at
+        at_service = _at_service(crashes, key.service)
+        if len(at_service) > MAX_CRASHES_PER_SERVICE:
             self._counters["suspect.surplus"] += 1
+            del crashes[_weakest(at_service)]
+        if key not in crashes:
             return False
-        crashes[key] = crashed_at
         self._has_news = self._has_news or fingerprint not in self._harmless
         return True
 
-    def _valid_crashes(self, fingerprint: str, now: float) -> list[Crash]:
-        """Return the crashes under the content that have not expired, with their age."""
+    def _valid_crashes(self, fingerprint: str, now: float) -> dict[Crash, float]:
+        """Return the crashes under the content that have not expired, with their times."""
         crashes = self._crashes.get(fingerprint)
         if crashes is None:
-            return []
+            return {}
         for crash, crashed_at in list(crashes.items()):
             if now - crashed_at >= EVIDENCE_TTL_S:
                 del crashes[crash]
         if not crashes:
             del self._crashes[fingerprint]
-        return [replace(crash, age_s=now - crashed_at) for crash, crashed_at in crashes.items()]
+        return crashes
 
     def _is_harmless(self, fingerprint: str, now: float) -> bool:
         ran_at = self._harmless.get(fingerprint)
         return ran_at is not None and now - ran_at < EVIDENCE_TTL_S
 
 
-def _count(crashes: Sequence[Crash]) -> int:
+def _at_service(crashes: Mapping[Crash, float], service: str) -> dict[Crash, float]:
+    return {crash: time for crash, time in crashes.items() if crash.service == service}
+
+
+def _is_reported(crashes: Mapping[Crash, float], crash: Crash, crashed_at: float) -> bool:
+    """Return whether *crash* is another report of a known crash that adds no occasion."""
+    return not crash.is_trial and any(
+        known.server == crash.server and abs(time - crashed_at) <= CRASH_CONFIRMATION_S
+        for known, time in crashes.items()
+    )
+
+
+def _weakest(crashes: Mapping[Crash, float]) -> Crash:
+    """Return the oldest crash without which the others prove as much."""
+    count = min(_count(crashes), CRASH_THRESHOLD)
+    oldest_first = sorted(crashes, key=lambda crash: crashes[crash])
+    for crash in oldest_first:
+        others = {other: time for other, time in crashes.items() if other != crash}
+        if min(_count(others), CRASH_THRESHOLD) == count:
+            return crash
+    return oldest_first[0]
+
+
+def _strongest(crashes: Mapping[Crash, float], now: float) -> tuple[Crash, ...]:
+    """Return the crashes to send to other daemons, with their ages."""
+    counts = _count_by_service(crashes)
+    aged = [replace(crash, age_s=now - time) for crash, time in crashes.items()]
+    aged.sort(key=lambda c: (counts[c.service] < CRASH_THRESHOLD, not c.is_trial, c.age_s))
+    return tuple(aged[:MAX_CRASHES_PER_EVIDENCE])
+
+
+def _count_by_service(crashes: Mapping[Crash, float]) -> dict[str, int]:
+    services = {crash.service for crash in crashes}
+    return {service: _count(_at_service(crashes, service)) for service in services}
+
+
+def _count(crashes: Mapping[Crash, float]) -> int:
     """Return how many crashes count against the content.
 
     Several daemons may report the same crash. Servers that fail together, with requests of several
     callers, count as one occasion. Each trial is an occasion of its own.
     """
-    ages: defaultdict[str, list[float]] = defaultdict(list)
-    for crash in crashes:
-        ages[crash.server].append(crash.age_s)
-    crash_count = sum(_count_apart(server_ages) for server_ages in ages.values())
+    server_times: defaultdict[str, list[float]] = defaultdict(list)
+    for crash, time in crashes.items():
+        server_times[crash.server].append(time)
+    crash_count = sum(_count_apart(times) for times in server_times.values())
     trials = {crash.occasion for crash in crashes if crash.is_trial}
-    others = _count_apart([crash.age_s for crash in crashes if not crash.is_trial])
+    others = _count_apart([time for crash, time in crashes.items() if not crash.is_trial])
     return min(crash_count, len(trials) + others)
 
 
-def _count_apart(ages: Sequence[float]) -> int:
-    """Return the number of groups of *ages* that are further apart than any confirmation."""
-    ordered = sorted(ages)
-    gaps = (older - newer for newer, older in pairwise(ordered))
+def _count_apart(times: Sequence[float]) -> int:
+    """Return the number of groups of *times* that are further apart than any confirmation."""
+    ordered = sorted(times)
+    gaps = (later - earlier for earlier, later in pairwise(ordered))
     return sum(gap > CRASH_CONFIRMATION_S for gap in gaps) + bool(ordered)
