Report the evidence that decides first in each datagram

After the loss of a failure domain, the first crash of a deadly content waited behind contents that were merely lost with it, and content that is refused for one shard waited behind all that had never run. Both tests failed before. Refused contents now come first, then the most harmful, then the latest.

--- a/marigoldwalk/routing/suspects.py
+++ b/marigoldwalk/routing/suspects.py
@@ -29,7 +29,8 @@
 EVIDENCE_TTL_S = 60.0
 """Time for which evidence is valid; callers repeat such requests for some seconds."""
 MAX_EVIDENCE_PER_DATAGRAM = 8
-"""Maximum number of request contents reported in one datagram, the most harmful first."""
+"""Maximum number of request contents reported in one datagram, refused ones first, then the
+most harmful and the latest."""
 MAX_CRASHES_PER_SERVICE = 2 * CRASH_THRESHOLD
 """Maximum number of crashes kept of one content at one service. As many as the threshold prove the
 number of servers and as many the number of occasions."""
@@ -143,14 +144,20 @@
     def evidence(self, now: float) -> list[Evidence]:
         """Return the evidence to send to other daemons, with its age."""
         contents = [
-            (self._is_harmless(fingerprint, now), -_count(crashes), fingerprint)
+            (
+                not self.is_refused(fingerprint, now),
+                self._is_harmless(fingerprint, now),
+                -_count(crashes),
+                -max(crashes.values()),
+                fingerprint,
+            )
             for fingerprint in list(self._crashes)
             if (crashes := self._valid_crashes(fingerprint, now))
         ]
-        contents.sort(key=lambda content: content[:2])
+        contents.sort()
         return [
             Evidence(fingerprint, _strongest(self._crashes[fingerprint], now), is_harmless)
-            for is_harmless, _, fingerprint in contents[:MAX_EVIDENCE_PER_DATAGRAM]
+            for _, is_harmless, *_, fingerprint in contents[:MAX_EVIDENCE_PER_DATAGRAM]
         ]
 
     def merge(self, received: Iterable[Evidence], now: float) -> list[str]:
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -149,6 +149,25 @@
     assert suspects.evidence(3.0)[0].fingerprint == "deadly"
 
 
+def test_new_evidence_is_sent_although_many_contents_were_lost_with_a_failure_domain():
+    suspects = Suspects()
+    for number in range(4 * MAX_EVIDENCE_PER_DATAGRAM):
+        crash(suspects, f"f-{number}", "i-1", 1.0, occasion=f"q-{number}", is_trial=False)
+    crash(suspects, "deadly", "i-2", 5.0, is_trial=False)
+    assert suspects.evidence(5.2)[0].fingerprint == "deadly"
+
+
+def test_content_refused_for_one_shard_is_reported_before_content_that_was_lost_once():
+    suspects = Suspects()
+    suspects.record_run("deadly", 1.0)
+    for number in range(3):
+        crash(suspects, "deadly", f"i-{number}", 1.0)
+    for number in range(4 * MAX_EVIDENCE_PER_DATAGRAM):
+        crash(suspects, f"f-{number}", "i-4", 5.0, occasion=f"q-{number}", is_trial=False)
+    assert suspects.is_refused("deadly", 5.2)
+    assert suspects.evidence(5.2)[0].fingerprint == "deadly"
+
+
 class CrashingServers:
     """Servers that go down for two seconds whenever they execute the content."""
 
