Send evidence against content that ran over a minute ago at once

A content counts as harmless for a minute after it ran, but whether evidence is urgent was asked without that limit, so it waited for the next gossip round, up to a second. The test failed before.

--- a/marigoldwalk/routing/suspects.py
+++ b/marigoldwalk/routing/suspects.py
@@ -188,7 +188,7 @@
             del crashes[_weakest(at_service)]
         if key not in crashes:
             return False
-        self._has_news = self._has_news or fingerprint not in self._harmless
+        self._has_news = self._has_news or not self._is_harmless(fingerprint, crashed_at)
         return True
 
     def _valid_crashes(self, fingerprint: str, now: float) -> dict[Crash, float]:
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -168,6 +168,15 @@
     assert suspects.evidence(5.2)[0].fingerprint == "deadly"
 
 
+def test_evidence_is_urgent_against_content_that_ran_long_ago():
+    suspects = Suspects()
+    suspects.record_run("f", 1.0)
+    crash(suspects, "f", "i-1", 2.0)
+    assert not suspects.take_news()
+    crash(suspects, "f", "i-2", 2.0 + EVIDENCE_TTL_S)
+    assert suspects.take_news()
+
+
 class CrashingServers:
     """Servers that go down for two seconds whenever they execute the content."""
 
