--- a/tests/routing/test_crashing_content.py
+++ b/tests/routing/test_crashing_content.py
@@ -110,6 +110,21 @@
     assert len(late_retries(fleet)) <= MAX_RETRIES
 
 
+@pytest.mark.parametrize(
+    ("scene", "deadly_per_s", "others_per_s", "seed"),
+    [(two_replicas, 1.0, 7.0, 4), (twenty_shards, 3.0, 0.5, 3), (twenty_shards, 3.0, 7.0, 2)],
+)
+def test_request_is_not_sent_on_while_trials_that_crash_servers_late_are_open(
+    scene, deadly_per_s, others_per_s, seed
+):
+    route, servers = scene()
+    for server in servers:
+        server.crash_delay_s = 1.5
+    fleet = CrashingFleet([route], servers, DOMAINS, seed)
+    play(fleet, deadly_per_s, others_per_s)
+    assert len(late_retries(fleet)) <= MAX_RETRIES
+
+
 @pytest.mark.parametrize("contents", ["same", "different"])
 def test_queries_lost_with_the_servers_of_a_domain_are_completed_by_their_replicas(contents):
     route, servers = twenty_shards()
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -4,7 +4,12 @@
 
 import random
 from collections import Counter
+from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marigoldwalk.routing import suspects as suspects_module
 from marigoldwalk.routing.exchanges import ErrorAnswer
 from marigoldwalk.routing.suspects import (
     CRASH_CONFIRMATION_S,
@@ -177,6 +182,24 @@
     assert suspects.take_news()
 
 
+CRASHES = st.lists(
+    st.tuples(st.integers(0, 5), st.floats(0.0, 2.0), st.booleans()), min_size=1, max_size=30
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(CRASHES)
+def test_bound_on_kept_crashes_changes_no_refusal(drawn):
+    bounded, unbounded = Suspects(), Suspects()
+    now = 0.0
+    for number, (server, pause_s, is_trial) in enumerate(drawn):
+        now += pause_s
+        crash(bounded, "f", f"i-{server}", now, occasion=f"q-{number}", is_trial=is_trial)
+        with mock.patch.object(suspects_module, "MAX_CRASHES_PER_SERVICE", len(drawn)):
+            crash(unbounded, "f", f"i-{server}", now, occasion=f"q-{number}", is_trial=is_trial)
+        assert bounded.is_refused("f", now) == unbounded.is_refused("f", now)
+
+
 class CrashingServers:
     """Servers that go down for two seconds whenever they execute the content."""
 
