Read the request limit that a server names, and log its changes

The header is now read, kept from callers, logged when it changes and counted (notice.rate_limit). No decision uses it yet.

--- a/marigoldwalk/platform/headers.py
+++ b/marigoldwalk/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ..gateway.header_codec import RequestMetadata
@@ -19,6 +20,7 @@
 EXPECT_SERVER = "x-marigoldwalk-expect-instance"
 NOT_RUN = "x-marigoldwalk-not-executed"
 LEAVING = "server-leaving"
+RATE_LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 MAX_RETRY_AFTER_S = 86_400.0
 """A longer pause, which no server can mean, counts as this one."""
@@ -88,6 +90,7 @@
         is_encoded = False
         is_leaving = False
         pause_s = 0.0
+        rate_limit: float | None = None
         end_to_end: list[tuple[str, str]] = []
         for name, value in raw.headers:
             lower = name.lower()
@@ -103,6 +106,9 @@
                 # Meant for this daemon: callers have no connection to the server.
                 is_leaving = is_leaving or value.strip() == "1"
                 continue
+            elif lower == RATE_LIMIT:
+                rate_limit = _rate_limit(value)
+                continue
             elif lower == RETRY_AFTER and raw.status == _REJECTED_STATUS:
                 pause_s = max(pause_s, _pause_s(value))
             if lower not in _HOP_BY_HOP and lower != "content-length":
@@ -119,6 +125,7 @@
             is_misdirected=raw.status == _MISDIRECTED_STATUS,
             is_leaving=is_leaving,
             pause_s=pause_s,
+            rate_limit=rate_limit,
         )
 
     def merged_headers(self, answer: MergedAnswer) -> list[tuple[str, str]]:
@@ -138,6 +145,15 @@
     return min(pause_s, MAX_RETRY_AFTER_S) if pause_s > 0 else 0.0
 
 
+def _rate_limit(value: str) -> float | None:
+    """Return the requests per second in a ``Server-Limit`` header; ``None`` if it is invalid."""
+    try:
+        rate_limit = float(value)
+    except ValueError:
+        return None
+    return rate_limit if 0 <= rate_limit < math.inf else None
+
+
 def _connection_options(headers: Sequence[tuple[str, str]]) -> set[str]:
     """Return the header names that ``Connection`` headers list as hop-by-hop."""
     connection_options: set[str] = set()
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -31,6 +31,8 @@
     """Whether the server says that it is leaving."""
     pause_s: float = 0.0
     """Time for which the server wants no requests from this daemon."""
+    rate_limit: float | None = None
+    """Requests per second that the server takes from all daemons together, if it states a limit."""
 
     @property
     def is_success(self) -> bool:
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -154,6 +154,10 @@
     if reply.is_leaving and row.record_leaving(world.now):
         world.counters["notice.leaving"] += 1
         logger.info("server is leaving", extra={"fields": {"server": row.server_id}})
+    if row.record_rate_limit(reply.rate_limit):
+        world.counters["notice.rate_limit"] += 1
+        fields = {"server": row.server_id, "per_s": reply.rate_limit}
+        logger.info("server changed its request limit", extra={"fields": fields})
     if reply.pause_s > 0:
         world.counters["notice.pause"] += 1
         row.record_pause(reply.pause_s, world.now)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -116,6 +116,26 @@
     assert read(("Retry-After", value), status=503).pause_s == expected
 
 
+@pytest.mark.parametrize("status", [200, 500, 503])
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("15.7", 15.7),
+        (" 2 ", 2.0),
+        ("0", 0.0),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("many", None),
+        ("", None),
+    ],
+)
+def test_rate_limit_is_read_from_every_answer_and_not_passed_on(value, expected, status):
+    reply = read(STAMP, ("Server-Limit", value), status=status)
+    assert reply.rate_limit == expected
+    assert [name for name, _ in reply.headers] == ["X-Marigoldwalk-Response-Stamp"]
+
+
 def test_retry_after_with_another_status_is_no_pause_and_passed_on():
     reply = read(STAMP, ("Retry-After", "2"), status=500)
     assert reply.pause_s == 0.0
