Divide the limit that a server names among the daemons and keep to it

Cause: the gateway did not know the limit. Class: a limit for the fleet that no daemon can keep alone. Change: each daemon has a share of the limit, for first sends, retries, hedges, trials and delegated queries alike, as all of them are sent in one place. Unused requests are saved up only within the operators' tolerance, so that all daemons together stay within it even if they use what they have saved at once. Where the tolerance is below one request for each daemon, a few main senders, other ones for each server, have three quarters of the limit; the rest lets the others notice a change. What does not fit is refused at once (servers_limited) with the time of the next request as Retry-After; less urgent requests and hedges leave half of the saved requests to urgent first sends.

--- a/marigoldwalk/errors.py
+++ b/marigoldwalk/errors.py
@@ -108,6 +108,7 @@
     NO_ROUTE = "no_route"
     NO_SERVER = "no_server"
     SERVERS_PAUSED = "servers_paused"
+    SERVERS_LIMITED = "servers_limited"
     OVERLOADED = "overloaded"
     SERVERS_FAILED = "servers_failed"
     DEADLINE = "deadline"
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -19,6 +19,7 @@
 from ..routing.membership import MemberReport, Membership
 from ..routing.readers import Readers
 from ..routing.router import Router
+from ..routing.senders import Senders
 from ..routing.world import RoutingWorld
 from ..util.clock import Clock
 from ..util.listening import bound_address, listen
@@ -147,8 +148,12 @@
     def _on_members_changed(self) -> None:
         """Recompute this daemon's share of the fleet's limits."""
         world = self.world
-        world.member_count = self._membership.possible_member_count()
         self.delegation.update(world.catalog.min_shard_connections, self._clock.now())
+        world.senders = Senders(
+            self.settings.name,
+            self._membership.possible_member_names(),
+            self.delegation.all_delegate_names,
+        )
         world.shard_share = self.delegation.shard_share
         world.is_delegate = self.delegation.is_delegate
 
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -8,7 +8,7 @@
 from .tables import ServerRow
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterator
+    from collections.abc import Collection, Iterable, Iterator
 
     from .model import Registration, Route, RoutingConfig, Service
 
@@ -39,6 +39,8 @@
         self.excluded_domains: frozenset[str] = frozenset()
         self.shards: frozenset[str] = frozenset()
         """The services that serve a shard of any route."""
+        self._top_priorities: dict[str, int] = {}
+        """The most urgent priority among the routes of each service."""
         self._routes: dict[int, RouteIndex] = {}
         self._by_service: dict[str, list[ServerRow]] = {}
         self._departed: dict[str, ServerRow] = {}
@@ -54,8 +56,13 @@
             del self._routes[min(self._routes)]
         fan_outs = [route.fan_out for route in config.routes if route.fan_out is not None]
         self.shards = frozenset(shard for fan_out in fan_outs for shard in fan_out.shards)
+        self._top_priorities = _top_priorities(config.routes)
         return True
 
+    def is_most_urgent(self, route: Route, service: str) -> bool:
+        """Return whether no route of *service* is more urgent than *route*."""
+        return route.priority <= self._top_priorities.get(service, route.priority)
+
     def knows_version(self, version: int) -> bool:
         """Return whether *version* is the one in force or one of those kept."""
         return version in self._routes
@@ -153,6 +160,7 @@
             # The same process registers again; what it said in its replies still holds.
             row.leaving_at = departed.leaving_at
             row.paused_until = departed.paused_until
+            row.limit = departed.limit
         self.rows[new.server_id] = row
         self._by_service.setdefault(new.service, []).append(row)
 
@@ -163,6 +171,14 @@
         row.drop_at = None
 
 
+def _top_priorities(routes: Iterable[Route]) -> dict[str, int]:
+    priorities: dict[str, int] = {}
+    for route in routes:
+        for service in route.services:
+            priorities[service] = min(route.priority, priorities.get(service, route.priority))
+    return priorities
+
+
 def _version_of(registration: Registration) -> tuple[int, int]:
     return registration.started_at_ms, registration.sequence
 
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -81,6 +81,11 @@
         """Whether this daemon executes the queries of others."""
         return self.membership.own.name in self.delegates
 
+    @property
+    def all_delegate_names(self) -> tuple[str, ...]:
+        """The names of the delegates of all failure domains."""
+        return tuple(sorted({*self.delegates, *self.remote_delegates}))
+
     def choose(self, now: float) -> MemberReport | None:
         """Return the daemon that should execute a query, or ``None`` for this daemon."""
         if not self.is_needed or self.is_delegate:
--- a/marigoldwalk/routing/eligibility.py
+++ b/marigoldwalk/routing/eligibility.py
@@ -6,6 +6,9 @@
 request later than the drain time after the reply. A server that asked for a pause receives nothing
 until the pause is over.
 
+A server that states a limit receives no more than this daemon's share of it (see
+:mod:`.server_limits`).
+
 After a crash, another server may get the address while the old registration lasts. It rejects what
 is meant for the old one, and the rejections count as repeats there, so the old one is not used.
 """
@@ -14,7 +17,8 @@
 
 from typing import TYPE_CHECKING
 
-from .placement import LEAVING, NONE_USABLE, UNREGISTERED, NoServer
+from .placement import LEAVING, LIMITED, NONE_USABLE, UNREGISTERED, NoServer
+from .server_limits import available_at
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -29,7 +33,7 @@
 
 
 def eligible_servers(
-    world: RoutingWorld, task: Task, avoided: Collection[str]
+    world: RoutingWorld, task: Task, avoided: Collection[str], is_hedge: bool = False
 ) -> list[ServerRow] | NoServer:
     """Return the servers that may receive an attempt of *task*, or why there are none."""
     service = world.catalog.service(task.service)
@@ -46,7 +50,11 @@
     if not resumed:
         earliest = min(row.paused_until for row in rows)
         return NoServer("paused", "every server asked for a pause", earliest)
-    return _without_leaving(world, task, resumed, avoided)
+    permitted = [row for row in resumed if available_at(world, row, task, is_hedge) <= world.now]
+    if not permitted:
+        earliest = min(available_at(world, row, task, is_hedge) for row in resumed)
+        return NoServer(LIMITED, "every server has had what it takes", earliest, is_contended=True)
+    return _without_leaving(world, task, permitted, avoided)
 
 
 def _without_leaving(
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -10,6 +10,7 @@
     from ..errors import RefusalReason
     from .admission import ConcurrencyLimit
     from .model import Route
+    from .placement import NoServer
     from .tables import ServerRow
 
 
@@ -126,8 +127,8 @@
     resend_at: float = float("inf")
     failure: str = ""
     """Why the task failed."""
-    servable_at: float | None = None
-    """When a server may take the failed task, if that is known."""
+    refusal: NoServer | None = None
+    """Why no server could take the failed task."""
 
     @property
     def is_over(self) -> bool:
--- a/marigoldwalk/routing/finishing.py
+++ b/marigoldwalk/routing/finishing.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..errors import RefusalReason
+from ..util.hashing import stable_hash
 from .admission import record_end
 from .exchanges import (
     ErrorAnswer,
@@ -22,6 +23,7 @@
     TaskState,
 )
 from .merging import top_records
+from .placement import LIMITED
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -72,8 +74,9 @@
     # A server that may have run the request can answer with a status that would deny it.
     if isinstance(task.reply, ServerReply) and task.reply.status not in _NOT_RUN_STATUSES:
         return ForwardedAnswer(task.reply)
-    if task.servable_at is not None and not exchange.may_have_run:
-        return _paused_answer(task.servable_at, world.now)
+    refusal = task.refusal
+    if refusal is not None and refusal.until is not None and not exchange.may_have_run:
+        return _refused_answer(exchange, refusal, world.now)
     return unserved_answer(exchange)
 
 
@@ -97,15 +100,24 @@
     missing = needed - (total - len(blocked))
     if missing <= 0:
         return None
-    known = sorted(refusal.until for refusal in blocked if refusal.until is not None)
+    known = [refusal for refusal in blocked if refusal.until is not None]
     if len(known) < missing:
         return ErrorAnswer(503, RefusalReason.NO_SERVER, RETRY_AFTER_S)
-    return _paused_answer(known[missing - 1], now)
+    known.sort(key=lambda refusal: refusal.until)
+    return _refused_answer(exchange, known[missing - 1], now)
 
 
-def _paused_answer(servable_at: float, now: float) -> ErrorAnswer:
-    retry_after_s = max(servable_at - now, RETRY_AFTER_S)
-    return ErrorAnswer(503, RefusalReason.SERVERS_PAUSED, retry_after_s)
+def _refused_answer(exchange: Exchange, refusal: NoServer, now: float) -> ErrorAnswer:
+    """Return the refusal of an exchange that servers will take later.
+
+    Callers who were refused because of a limit come back one after the other, since they could not
+    all be served when it next allows a request.
+    """
+    retry_after_s = max(refusal.until - now, RETRY_AFTER_S)
+    if refusal.code != LIMITED:
+        return ErrorAnswer(503, RefusalReason.SERVERS_PAUSED, retry_after_s)
+    spread = stable_hash("retry", exchange.request.request_id) % 1000 / 1000
+    return ErrorAnswer(503, RefusalReason.SERVERS_LIMITED, retry_after_s * (1.0 + spread))
 
 
 def _deadline_answer(exchange: Exchange) -> ErrorAnswer:
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -137,6 +137,12 @@
         """Return how many daemons may be sending, including this one."""
         return len(self._rows) + 1 if self._rows else ASSUMED_MEMBERS
 
+    def possible_member_names(self) -> tuple[str, ...]:
+        """Return the names of the daemons that may be sending; unknown ones have made-up names."""
+        known = {self.own.name, *self._rows}
+        unknown_count = self.possible_member_count() - len(known)
+        return (*sorted(known), *(f"unknown-{number}" for number in range(unknown_count)))
+
     def alive(self, now: float) -> list[MemberRow]:
         """Return the other members that are alive."""
         timeout_factor = self.timeout_factor
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -8,6 +8,7 @@
 from .admission import record_shed, record_wait
 from .exchanges import LossReason, LostAttempt
 from .sending import release, retry
+from .server_limits import record_limit
 from .suspects import crash_of
 
 if TYPE_CHECKING:
@@ -154,7 +155,7 @@
     if reply.is_leaving and row.record_leaving(world.now):
         world.counters["notice.leaving"] += 1
         logger.info("server is leaving", extra={"fields": {"server": row.server_id}})
-    if row.record_rate_limit(reply.rate_limit):
+    if record_limit(world, row, reply.rate_limit):
         world.counters["notice.rate_limit"] += 1
         fields = {"server": row.server_id, "per_s": reply.rate_limit}
         logger.info("server changed its request limit", extra={"fields": fields})
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -40,11 +40,16 @@
     reason: str
     until: float | None = None
     """When a server may take attempts again, if that is known."""
+    is_contended: bool = False
+    """Whether requests that come until then may be sent first."""
 
     def __bool__(self) -> bool:
         return False
 
 
+LIMITED = "limited"
+"""Code of the refusals because servers have stated limits."""
+
 UNREGISTERED = NoServer("unregistered", "no server is registered")
 NONE_USABLE = NoServer("none_usable", "every server drains, is cold or is out of service")
 LEAVING = NoServer("leaving", "every server is leaving")
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -19,6 +19,7 @@
     choose_server,
     cost_of,
 )
+from .server_limits import record_send
 from .tables import ServerRow
 
 if TYPE_CHECKING:
@@ -77,7 +78,7 @@
 
 def _resumes_in_time(world: RoutingWorld, exchange: Exchange, refusal: NoServer) -> bool:
     """Return whether a server that takes no attempts now does so before the target."""
-    if refusal.until is None:
+    if refusal.until is None or refusal.is_contended:
         return False
     return refusal.until + world.latencies(exchange.route).median_s <= exchange.target_at
 
@@ -103,7 +104,7 @@
         task.schedule_resend(chosen.until)
         world.counters["wait.paused"] += 1
     else:
-        task.servable_at = chosen.until
+        task.refusal = chosen
         task.fail(chosen.reason)
 
 
@@ -253,7 +254,7 @@
     world: RoutingWorld, task: Task, avoided: set[str], is_hedge: bool = False
 ) -> ServerRow | NoServer:
     # A leaving server is no place for a hedge, since another server already has the request.
-    rows = eligible_servers(world, task, () if is_hedge else avoided)
+    rows = eligible_servers(world, task, () if is_hedge else avoided, is_hedge)
     if isinstance(rows, NoServer):
         return rows
     max_open_attempts = open_attempts_limit(world, task, rows[0].registration.slots)
@@ -308,6 +309,7 @@
     is_trial = _needs_trial(world, exchange)
     attempt = Attempt(world.next_attempt_number(), task, row, world.now, is_trial)
     world.cold.record(row, world.now)
+    record_send(world, row)
     is_local = row.registration.domain == world.domain
     world.counters["send.own_domain" if is_local else "send.other_domain"] += 1
     task.sends += 1
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from ..config.view import Address
     from .model import Registration
+    from .server_limits import ServerLimit
 
 LATENCY_SAMPLES = 5
 """Number of latest answers whose median is the server's latency. A pause delays only the answers
@@ -60,8 +61,8 @@
     """When the server first said in a reply that it is leaving, or ``None``."""
     paused_until: float = 0.0
     """Time until which the server has asked this daemon for no requests."""
-    rate_limit: float | None = None
-    """Requests per second that the server takes from all daemons together, by its last reply."""
+    limit: ServerLimit | None = None
+    """The limit that the server stated in its last reply, if any."""
     replaced_until: float = 0.0
     """Time until which the server counts as gone, since its address belongs to another one."""
 
@@ -143,12 +144,6 @@
         """Record that the server wants no requests for *pause_s*."""
         self.paused_until = max(self.paused_until, now + pause_s)
 
-    def record_rate_limit(self, rate_limit: float | None) -> bool:
-        """Record the limit in the server's last reply; return whether it has changed."""
-        has_changed = rate_limit != self.rate_limit
-        self.rate_limit = rate_limit
-        return has_changed
-
     def record_shed(self, now: float) -> None:
         """Back off from the server after it shed a request, and add that to the failure count."""
         self.record_failure(now, SHED_WEIGHT)
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -14,6 +14,7 @@
 from .cold import ColdRateLimiter
 from .latencies import LatencyTracker
 from .queueing import TaskQueue
+from .senders import Senders
 from .splits import SplitChooser
 from .suspects import Suspects
 
@@ -33,6 +34,12 @@
     """Requests per second allowed in addition to that."""
     caller_delay_s: float = 0.003
     """One-way delay between a caller and this daemon."""
+    rate_window_s: float = 4.0
+    """Time window for which a limit that a server states is checked."""
+    rate_factor: float = 1.5
+    """Tolerated number of requests in the window, as a multiple of what the limit allows."""
+    rate_slack: float = 5.0
+    """Requests tolerated in addition to that."""
     drain_s: float = 3.0
     """Time for which a server that has said that it is leaving may still receive requests."""
 
@@ -45,8 +52,7 @@
         self.limits = limits
         self.started_at = started_at
         self.now = started_at
-        self.member_count = 1
-        """Number of daemons that may be sending to the same servers, including this one."""
+        self.senders = Senders("", ("",))
         self.shard_share = 1.0
         """This daemon's share of the fleet-wide limits for the servers of shards."""
         self.admission = Admission()
@@ -64,6 +70,11 @@
         self._queues: dict[str, TaskQueue] = {}
         self._attempt_numbers = itertools.count(1)
 
+    @property
+    def member_count(self) -> int:
+        """Number of daemons that may be sending to the same servers, including this one."""
+        return len(self.senders.members)
+
     def next_attempt_number(self) -> int:
         """Return a unique number for a new attempt."""
         return next(self._attempt_numbers)
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -7,6 +7,7 @@
 from marigoldwalk.config.view import Address
 from marigoldwalk.gateway.gossip import NEWS_INTERVAL_S
 from marigoldwalk.routing.membership import MemberReport, Membership
+from marigoldwalk.routing.senders import Senders
 
 from .simulation import RESET, Simulation
 
@@ -60,6 +61,9 @@
             FleetDaemon(f"g-{number}", domain, routes, servers, len(domains))
             for number, domain in enumerate(domains)
         ]
+        names = tuple(daemon.membership.own.name for daemon in self.daemons)
+        for daemon in self.daemons:
+            daemon.world.senders = Senders(daemon.membership.own.name, names)
         self._by_address = {d.membership.own.address: d for d in self.daemons}
         self._rounds = {d: d.now + self.rng.uniform(0, ROUND_S) for d in self.daemons}
         self._news_checks = dict.fromkeys(self.daemons, self.now)
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -27,6 +27,7 @@
     WeightedService,
 )
 from marigoldwalk.routing.router import Router
+from marigoldwalk.routing.senders import Senders
 from marigoldwalk.routing.world import RoutingLimits, RoutingWorld
 
 HOST = "desk.example"
@@ -109,7 +110,7 @@
     def __init__(self, routes, servers, members=1, domain="north", limits=None, max_connections=25):
         self.now = 100.0
         self.world = RoutingWorld(domain, limits or RoutingLimits(), self.now - 100.0)
-        self.world.member_count = members
+        self.world.senders = Senders("m-0", tuple(f"m-{number}" for number in range(members)))
         self.world.shard_share = 1 / members
         self.router = Router(self.world)
         self.scripts = {}
