Count content as harmless only after a success

Cause: any answer of a server that had run the request, an error of its own too, made its content harmless for a minute. Harmless content is sent without trials, to several servers at a time, and overlapping crashes count as one occasion. Class: an outcome taken as proof of more than it shows.

--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -188,7 +188,7 @@
     limit: ConcurrencyLimit | None = None
     """The limit under which the exchange was admitted."""
     has_run: bool = False
-    """Whether a server has executed the request, or its part of it, and answered."""
+    """Whether a server has executed the request, or its part of it, successfully."""
     holds_place: bool = False
     """Whether the exchange counts as open under the limit."""
 
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -25,7 +25,7 @@
     release(world, attempt)
     _record_reply(world, attempt, reply)
     task = attempt.task
-    if reply.executed and not task.exchange.has_run:
+    if reply.is_success and not task.exchange.has_run:
         task.exchange.has_run = True
         world.suspects.record_run(task.exchange.request.fingerprint, world.now)
     if task.is_over:
--- a/marigoldwalk/routing/suspects.py
+++ b/marigoldwalk/routing/suspects.py
@@ -112,7 +112,7 @@
         ]
 
     def record_run(self, fingerprint: str, now: float) -> None:
-        """Record that a server has executed the content and answered."""
+        """Record that a server has executed the content successfully."""
         self._harmless[fingerprint] = now
         self._harmless.move_to_end(fingerprint)
         if len(self._harmless) > MAX_HARMLESS:
--- a/tests/routing/crashing_fleet.py
+++ b/tests/routing/crashing_fleet.py
@@ -24,6 +24,8 @@
     work_s: float
     crash_delay_s: float = CRASH_DELAY_S
     """Time from the start of a deadly request to the crash."""
+    fails_deadly: bool = False
+    """Whether it answers deadly requests with an error of its own instead of a crash."""
     up_at: float = 0.0
     incarnation: int = 1
     open_attempts: list = field(default_factory=list)
@@ -42,6 +44,8 @@
         self.arrivals.append((daemon.now, attempt.task.exchange.request.request_id))
         self.open_attempts.append((daemon, attempt))
         if attempt.task.exchange.request.fingerprint in self.deadly:
+            if self.fails_deadly:
+                return self.work_s, server_reply(status=500)
             daemon.schedule(daemon.now + self.crash_delay_s, lambda: self.crash(daemon.now))
             return 0.0, None
         return self.work_s, server_reply()
--- a/tests/routing/test_crashing_content.py
+++ b/tests/routing/test_crashing_content.py
@@ -125,6 +125,32 @@
     assert len(late_retries(fleet)) <= MAX_RETRIES
 
 
+@pytest.mark.parametrize(
+    ("scene", "crash_delay_s", "deadly_per_s", "seed"),
+    [
+        (one_service, 0.003, 0.4, 7),
+        (one_service, 0.003, 5.0, 7),
+        (one_service, 0.067, 0.4, 7),
+        (one_service, 0.5, 5.0, 0),
+        (one_service_that_crashes_late, 0.067, 5.0, 7),
+        (one_service_that_crashes_late, 0.5, 2.0, 1),
+        (two_replicas, 0.003, 1.0, 2),
+        (two_replicas, 0.067, 0.4, 2),
+        (two_replicas, 0.5, 1.0, 1),
+    ],
+)
+def test_request_that_crashed_three_servers_is_not_sent_on_if_another_server_fails_it(
+    scene, crash_delay_s, deadly_per_s, seed
+):
+    route, servers = scene()
+    for server in servers:
+        server.crash_delay_s = crash_delay_s
+    servers[0].fails_deadly = True
+    fleet = CrashingFleet([route], servers, DOMAINS, seed)
+    play(fleet, deadly_per_s, others_per_s=7.0)
+    assert len(late_retries(fleet)) <= MAX_RETRIES
+
+
 @pytest.mark.parametrize("contents", ["same", "different"])
 def test_queries_lost_with_the_servers_of_a_domain_are_completed_by_their_replicas(contents):
     route, servers = twenty_shards()
