--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -149,11 +149,13 @@
         """Recompute this daemon's share of the fleet's limits."""
         world = self.world
         self.delegation.update(world.catalog.min_shard_connections, self._clock.now())
-        world.senders = Senders(
+        senders = Senders(
             self.settings.name,
             self._membership.possible_member_names(),
             self.delegation.all_delegate_names,
         )
+        if senders != world.senders:
+            world.senders = senders
         world.shard_share = self.delegation.shard_share
         world.is_delegate = self.delegation.is_delegate
 
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -160,7 +160,7 @@
             # The same process registers again; what it said in its replies still holds.
             row.leaving_at = departed.leaving_at
             row.paused_until = departed.paused_until
-            row.limit = departed.limit
+            row.rate_limit = departed.rate_limit
         self.rows[new.server_id] = row
         self._by_service.setdefault(new.service, []).append(row)
 
--- a/marigoldwalk/routing/eligibility.py
+++ b/marigoldwalk/routing/eligibility.py
@@ -50,10 +50,11 @@
     if not resumed:
         earliest = min(row.paused_until for row in rows)
         return NoServer("paused", "every server asked for a pause", earliest)
-    permitted = [row for row in resumed if available_at(world, row, task, is_hedge) <= world.now]
+    times = [available_at(world, row, task, is_hedge) for row in resumed]
+    permitted = [row for row, time in zip(resumed, times, strict=True) if time <= world.now]
     if not permitted:
-        earliest = min(available_at(world, row, task, is_hedge) for row in resumed)
-        return NoServer(LIMITED, "every server has had what it takes", earliest, is_contended=True)
+        reason = "every server has had what it takes"
+        return NoServer(LIMITED, reason, min(times), is_contended=True)
     return _without_leaving(world, task, permitted, avoided)
 
 
--- a/marigoldwalk/routing/senders.py
+++ b/marigoldwalk/routing/senders.py
@@ -31,7 +31,7 @@
     def share(self, server_id: str, max_main: int, is_shard: bool) -> float:
         """Return this daemon's share of a limit that a server has for all daemons together.
 
-        At most *max_main* daemons get a share that is worth while.
+        At most *max_main* daemons, the main senders, share most of it.
         """
         key = (server_id, max_main, is_shard)
         share = self._shares.get(key)
--- a/marigoldwalk/routing/server_limits.py
+++ b/marigoldwalk/routing/server_limits.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class ServerLimit:
+class RateLimit:
     """The limit that a server has stated, and what this daemon may still send."""
 
     per_s: float
@@ -51,14 +51,14 @@
 
 def record_limit(world: RoutingWorld, row: ServerRow, per_s: float | None) -> bool:
     """Record the limit in a server's last reply, or that it has none; return whether it is new."""
-    known = row.limit
+    known = row.rate_limit
     if per_s is None:
-        row.limit = None
+        row.rate_limit = None
         return known is not None
     if known is None:
         # Daemons learn of a limit at the same time, so each begins at another point.
         phase = stable_hash(world.senders.own, row.server_id) / _HASH_RANGE
-        row.limit = ServerLimit(per_s, phase, world.now)
+        row.rate_limit = RateLimit(per_s, phase, world.now)
         return True
     if per_s == known.per_s:
         return False
@@ -69,7 +69,7 @@
 
 def available_at(world: RoutingWorld, row: ServerRow, task: Task, is_hedge: bool = False) -> float:
     """Return when this daemon may send *task* to the server, as far as its limit is concerned."""
-    limit = row.limit
+    limit = row.rate_limit
     if limit is None:
         return world.now
     quota = _refill(world, row, limit)
@@ -81,13 +81,13 @@
 
 def record_send(world: RoutingWorld, row: ServerRow) -> None:
     """Count a request to the server, of whatever kind, against its limit."""
-    if row.limit is not None:
-        _refill(world, row, row.limit)
-        row.limit.tokens -= 1.0
+    if row.rate_limit is not None:
+        _refill(world, row, row.rate_limit)
+        row.rate_limit.tokens -= 1.0
         world.counters["send.limited"] += 1
 
 
-def quota(world: RoutingWorld, row: ServerRow, per_s: float) -> Quota:
+def own_quota(world: RoutingWorld, row: ServerRow, per_s: float) -> Quota:
     """Return this daemon's part of a limit of *per_s* requests a second at a server."""
     per_s = max(per_s, MIN_PER_S)
     limits = world.limits
@@ -98,9 +98,9 @@
     return Quota(per_s * share, max(1.0, SAVED_SHARE * tolerance * share))
 
 
-def _refill(world: RoutingWorld, row: ServerRow, limit: ServerLimit) -> Quota:
-    own = quota(world, row, limit.per_s)
+def _refill(world: RoutingWorld, row: ServerRow, limit: RateLimit) -> Quota:
+    quota = own_quota(world, row, limit.per_s)
     elapsed_s = world.now - limit.updated_at
-    limit.tokens = min(own.burst, limit.tokens + own.per_s * elapsed_s)
+    limit.tokens = min(quota.burst, limit.tokens + quota.per_s * elapsed_s)
     limit.updated_at = world.now
-    return own
+    return quota
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from ..config.view import Address
     from .model import Registration
-    from .server_limits import ServerLimit
+    from .server_limits import RateLimit
 
 LATENCY_SAMPLES = 5
 """Number of latest answers whose median is the server's latency. A pause delays only the answers
@@ -61,7 +61,7 @@
     """When the server first said in a reply that it is leaving, or ``None``."""
     paused_until: float = 0.0
     """Time until which the server has asked this daemon for no requests."""
-    limit: ServerLimit | None = None
+    rate_limit: RateLimit | None = None
     """The limit that the server stated in its last reply, if any."""
     replaced_until: float = 0.0
     """Time until which the server counts as gone, since its address belongs to another one."""
--- a/tests/routing/test_server_limits.py
+++ b/tests/routing/test_server_limits.py
@@ -68,7 +68,7 @@
     assert servers[0].rate(5.0, 10.0) <= 3.0
     assert servers[0].rate(20.0, 30.0) > 12.0
     users = [daemon for daemon in fleet.daemons if daemon.world.domain == servers[0].domain]
-    assert [d.world.catalog.rows["s-1-0"].limit for d in users] == [None, None]
+    assert [d.world.catalog.rows["s-1-0"].rate_limit for d in users] == [None, None]
 
 
 def test_daemon_that_starts_while_a_limit_is_in_force_keeps_to_its_share():
@@ -156,9 +156,9 @@
     catalog = fleet.daemons[0].world.catalog
     catalog.remove("s-1-0")
     catalog.apply_registration(servers[0].record(), fleet.now)
-    assert catalog.rows["s-1-0"].limit.per_s == 3.0
+    assert catalog.rows["s-1-0"].rate_limit.per_s == 3.0
     catalog.apply_registration(registration("s-1-0", started_at_ms=2000), fleet.now)
-    assert catalog.rows["s-1-0"].limit is None
+    assert catalog.rows["s-1-0"].rate_limit is None
 
 
 def test_limit_of_zero_lets_a_request_through_now_and_then():
