--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -309,6 +309,19 @@
     assert all("server-leaving" not in headers for _, headers, _ in responses)
 
 
+def test_server_receives_no_more_than_the_limit_in_its_first_answer():
+    servers = {"s-1": [answering("i-1", ("Server-Limit", "0.2"))]}
+    with deployment(servers=servers) as (daemon, _):
+        responses = ask(daemon, *(request(request_id=f"q-{n}") for n in range(6)))
+        world = daemon.gateway.world
+        assert daemon.gateway.settings.name in world.senders.members
+        assert world.member_count == len(world.senders.members)
+    assert [status for status, _, _ in responses] == [200] + [503] * 5
+    assert [body for _, _, body in responses[1:]] == [b"servers_limited"] * 5
+    assert all("server-limit" not in headers for _, headers, _ in responses)
+    assert len(servers["s-1"][0].requests) == 1
+
+
 def test_caller_hears_when_the_servers_that_asked_for_a_pause_take_requests_again():
     pause = [("X-Marigoldwalk-Not-Executed", "1"), ("Retry-After", "30")]
     servers = {"s-1": [answering(f"i-{n}", *pause, status="503 Busy") for n in range(2)]}
