Log and count the servers that fall silent together

Logs and metrics could not tell the loss of a daemon's own links from failures of single servers: each server is judged alone. A daemon now notes when any server was last heard from or took a connection, and how many have failed since. No decision depends on it yet.

--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -113,6 +113,17 @@
         yield _gauge("version", "Version of the configuration in force", version)
         yield _gauge("servers", "Registered backend servers", len(catalog.rows))
         yield _gauge("members", "Daemons that may be sending", world.member_count)
+        reachability = world.reachability
+        yield _gauge(
+            "servers_silent",
+            "Servers that have failed since any server was last heard from",
+            reachability.silent_count,
+        )
+        yield _gauge(
+            "servers_unopened",
+            "Servers that took no connection since the last one that did",
+            reachability.unopened_count,
+        )
         yield _gauge("timer_lag_seconds", "How late due answers have left", world.answer_lag.lag_s)
 
 
--- a/marigoldwalk/gateway/connection.py
+++ b/marigoldwalk/gateway/connection.py
@@ -100,6 +100,7 @@
         self._decode: Callable[[RawReply], ServerReply | None] | None = None
         self._outgoing = b""
         self._on_outcome: Callable[[Outcome], None] | None = None
+        self._on_open: Callable[[], None] | None = None
         self._sent = False
         self._parser: httptools.HttpResponseParser | None = None
         self._loop = gevent.get_hub().loop
@@ -114,11 +115,14 @@
         data: bytes,
         on_outcome: Callable[[Outcome], None],
         decode: Callable[[RawReply], ServerReply | None],
+        on_open: Callable[[], None] | None = None,
     ) -> None:
         """Send *data* as one request, opening the connection first if necessary.
 
-        *decode* returns ``None`` for a response to another request, which is skipped.
+        *decode* returns ``None`` for a response to another request, which is skipped. *on_open* is
+        called if the server takes a new connection for the request.
         """
+        self._on_open = on_open
         self._outgoing = data
         self._on_outcome = on_outcome
         self._decode = decode
@@ -167,6 +171,8 @@
             self._fail(LossReason.CONNECT_FAILED, errno.errorcode.get(error_code, str(error_code)))
             return
         self._stop_timer()
+        if self._on_open is not None:
+            self._on_open()
         if self._outgoing:
             self._send_request()
         else:
--- a/marigoldwalk/gateway/executor.py
+++ b/marigoldwalk/gateway/executor.py
@@ -105,6 +105,7 @@
             data,
             lambda outcome: self._on_outcome(attempt, outcome),
             lambda raw: self._codec.read_reply(raw, request_id),
+            lambda: self._router.opened(attempt, self._now()),
         )
         # The event may belong to another exchange: a freed slot can go to a task of this one.
         self._rearm_timer(active)
@@ -121,6 +122,8 @@
 
     def _on_probed(self, probe: Probe, failure: LostAttempt | None) -> None:
         self._end_use(probe.attempt)
+        if failure is None:
+            self._router.opened(probe.attempt, self._now())
         self._complete(probe.attempt, self._router.probed(probe, failure, self._now()))
 
     def _end_use(self, attempt: Attempt) -> None:
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from .exchanges import Attempt, ServerReply
+    from .tables import ServerRow
     from .world import RoutingWorld
 
 logger = logging.getLogger(__name__)
@@ -23,6 +24,7 @@
 def handle_reply(world: RoutingWorld, attempt: Attempt, reply: ServerReply) -> None:
     """Handle a complete reply."""
     release(world, attempt)
+    world.reachability.record_reply(attempt.row, world.now)
     _record_reply(world, attempt, reply)
     task = attempt.task
     if reply.is_success and not task.exchange.has_run:
@@ -63,6 +65,7 @@
     world.counters[f"lost.{lost.reason.value}"] += 1
     row = attempt.row
     _log_loss(world, attempt, lost)
+    _record_reachability(world, row, lost)
     if lost.reason in _NOT_CONNECTED:
         row.record_unreachable(world.now)
         _record_crashes(world, row.server_id)
@@ -87,6 +90,13 @@
     retry(world, task, arrived=lost.reason not in _NOT_CONNECTED)
 
 
+def _record_reachability(world: RoutingWorld, row: ServerRow, lost: LostAttempt) -> None:
+    if lost.reason in _NOT_CONNECTED:
+        world.reachability.record_unopened(row, world.now)
+    elif lost.reason is not LossReason.ABANDONED:
+        world.reachability.record_overdue(row, world.now)
+
+
 def _record_loss(world: RoutingWorld, attempt: Attempt) -> None:
     fingerprint = attempt.task.exchange.request.fingerprint
     crash = crash_of(attempt)
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -73,6 +73,10 @@
         finish_if_due(self.world, exchange)
         return self.world.take_actions()
 
+    def opened(self, attempt: Attempt, now: float) -> None:
+        """Handle a new connection that the server of *attempt* has taken."""
+        self.world.reachability.record_opened(attempt.row, now)
+
     def reply(self, attempt: Attempt, reply: ServerReply, now: float) -> list[Action]:
         """Handle a server's reply."""
         self.world.now = now
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -168,6 +168,8 @@
     """Send a hedge if the open attempt takes longer than usual."""
     if world.now < task.hedge_at or task.is_over:
         return
+    for attempt in task.open_attempts:
+        world.reachability.record_overdue(attempt.row, world.now)
     route = task.exchange.route
     is_alone = len(task.open_attempts) == 1
     may_repeat = route.idempotent and not _needs_trial(world, task.exchange)
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -45,6 +45,8 @@
     open_attempts: dict[int, float] = field(default_factory=dict)
     """The expected answer time of each open attempt by attempt number, oldest first."""
     idle_connections: int = 0
+    heard_at: float = float("-inf")
+    """When the server last sent a reply or took a connection."""
     latency_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=LATENCY_SAMPLES))
     """Latest latencies, each divided by the median of its route."""
     lowest_ratios: tuple[float, float] = (1.0, 1.0)
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -14,6 +14,7 @@
 from .cold import ColdRateLimiter
 from .latencies import LatencyTracker
 from .queueing import TaskQueue
+from .reachability import Reachability
 from .senders import Senders
 from .splits import SplitChooser
 from .suspects import Suspects
@@ -64,6 +65,7 @@
         self.cold = ColdRateLimiter(limits)
         self.counters: Counter[str] = Counter()
         self.suspects = Suspects(self.counters)
+        self.reachability = Reachability(started_at)
         self.actions: list[Action] = []
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyTracker] = {}
