--- a/marigoldwalk/routing/reachability.py
+++ b/marigoldwalk/routing/reachability.py
@@ -21,6 +21,9 @@
 MIN_UNOPENED = 4
 """Number of servers that took no connection, since the last one that did, at which the links are in
 doubt even if open connections still work."""
+SILENCE_S = 0.1
+"""Time without a sign of any server before the links are in doubt. Answers that become overdue
+together, as those of one query, are followed by the answers of other servers sooner."""
 QUIET_S = 1.0
 """Time without a sign of any server after which one failure is enough for a doubt, for daemons with
 few requests."""
@@ -79,14 +82,16 @@
 
     def is_doubtful(self, server_count: int, now: float) -> bool:
         """Return whether the links may be lost, for a daemon that knows *server_count* servers."""
-        if len(self._silent) >= min(MIN_SILENT, server_count):
+        silence_s = now - self.heard_at
+        if len(self._silent) >= min(MIN_SILENT, server_count) and silence_s >= SILENCE_S:
             return True
         if len(self._unopened) >= min(MIN_UNOPENED, server_count):
-            return True
-        return bool(self._silent) and now - self.heard_at > QUIET_S
+            return now - self.opened_at >= SILENCE_S
+        return bool(self._silent) and silence_s > QUIET_S
 
     def _report_begin(self, now: float) -> None:
-        if self._is_reported or len(self._silent) < MIN_SILENT:
+        is_silent = len(self._silent) >= MIN_SILENT and now - self.heard_at >= SILENCE_S
+        if self._is_reported or not is_silent:
             return
         self._is_reported = True
         fields = {
