Hand requests to another daemon while this one reaches no server

Each server was judged alone, so nothing told the loss of the own links from failing servers, and only queries of large fleets could be handed to another daemon.

Servers that fall silent together now raise a doubt, which connections to servers of several failure domains settle. An isolated daemon tells the others, hands requests of any kind to one daemon that reaches servers, and refuses at once if there is none. Requests that were in progress follow unless a server may have run one that must not be repeated. Delegates are chosen among daemons that reach servers.

test_callers_of_a_daemon_that_reaches_no_server_are_served failed before for silent, reset and refused links.

--- a/marigoldwalk/errors.py
+++ b/marigoldwalk/errors.py
@@ -111,6 +111,7 @@
     SERVERS_LIMITED = "servers_limited"
     OVERLOADED = "overloaded"
     SERVERS_FAILED = "servers_failed"
+    SERVERS_UNREACHABLE = "servers_unreachable"
     DEADLINE = "deadline"
     SUSPECT_CONTENT = "suspect_content"
     MALFORMED = "malformed"
--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -53,10 +53,12 @@
             "version": catalog.config.version if catalog.config else None,
             "servers": len(catalog.rows),
             "excluded_domains": sorted(catalog.excluded_domains),
+            "isolated": self._world.reachability.is_isolated,
             "members": [
                 {
                     "name": row.report.name,
                     "state": row.state(now, self._membership.timeout_factor).value,
+                    "isolated": row.report.is_isolated,
                 }
                 for row in self._membership.rows()
             ],
@@ -114,6 +116,8 @@
         yield _gauge("servers", "Registered backend servers", len(catalog.rows))
         yield _gauge("members", "Daemons that may be sending", world.member_count)
         reachability = world.reachability
+        isolated = int(reachability.is_isolated)
+        yield _gauge("isolated", "Whether this daemon reaches no backend server", isolated)
         yield _gauge(
             "servers_silent",
             "Servers that have failed since any server was last heard from",
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -78,7 +78,7 @@
         counters = self.world.counters
         router = Router(self.world)
         self._pool = ConnectionPool(now, counters)
-        self._executor = ActionExecutor(router, self._pool, codec, now)
+        self._executor = ActionExecutor(router, self._pool, codec, now, self._report_isolation)
         self._membership = self._make_membership()
         self.delegation = Delegation(self._membership)
         delegate_client = DelegateClient(self.delegation, self._pool, now, counters)
@@ -159,6 +159,10 @@
         world.shard_share = self.delegation.shard_share
         world.is_delegate = self.delegation.is_delegate
 
+    def _report_isolation(self, is_isolated: bool) -> None:
+        self._membership.set_isolated(is_isolated)
+        self._on_members_changed()
+
     @property
     def caller_address(self) -> Address:
         """Address on which callers connect."""
@@ -181,7 +185,9 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections to this daemon."""
-        return self.world.catalog.config is not None and not self._frontend.is_stopping
+        if self.world.catalog.config is None or self._frontend.is_stopping:
+            return False
+        return not self.world.reachability.is_isolated or self._frontend.can_forward()
 
     def run(self) -> int:
         """Run until a planned stop is complete; returns the exit status."""
@@ -203,6 +209,7 @@
     def close(self) -> None:
         """Stop all servers and background tasks immediately."""
         gevent.killall([self._sweeper], block=False)
+        self._executor.stop()
         self._store_watcher.stop()
         self._gossip.stop()
         self._pool.close_all()
--- a/marigoldwalk/gateway/connection.py
+++ b/marigoldwalk/gateway/connection.py
@@ -132,10 +132,14 @@
         else:
             self._send_request()
 
-    def open(self, on_outcome: Callable[[LostAttempt | None], None]) -> None:
+    def open(
+        self,
+        on_outcome: Callable[[LostAttempt | None], None],
+        timeout_s: float = PROBE_TIMEOUT_S,
+    ) -> None:
         """Open the connection without a request; *on_outcome* gets ``None`` once it is open."""
         self._on_outcome = on_outcome
-        self._connect(PROBE_TIMEOUT_S)
+        self._connect(timeout_s)
 
     def close(self) -> None:
         """Close the connection; a pending request is reported as lost."""
--- a/marigoldwalk/gateway/delegate_client.py
+++ b/marigoldwalk/gateway/delegate_client.py
@@ -26,6 +26,7 @@
     from ..routing.delegation import Delegation
     from ..routing.exchanges import Exchange
     from ..routing.membership import MemberReport
+    from ..routing.model import Route
     from .connection_pool import ConnectionPool
 
 logger = logging.getLogger(__name__)
@@ -89,8 +90,43 @@
         delegate = self._delegation.choose(self._now())
         if delegate is None:
             return DelegateFailure.NOT_SENT
+        elapsed_s = self._now() - exchange.request.received_at
+        wait_s = max(exchange.route.target_s + REPLY_GRACE_S - elapsed_s, REPLY_GRACE_S)
+        return self._forward_to(delegate, exchange, head, sock, wait_s)
+
+    def forward_isolated(
+        self, exchange: Exchange, head: bytes, body: bytes, sock: socket.socket
+    ) -> RawReply | DelegateFailure:
+        """Return the answer of a daemon that reaches the servers, which this one does not.
+
+        Only one other daemon is asked, and it does not forward the request further.
+        """
+        now = self._now()
+        delegate = self.choose_connected(exchange.route, now)
+        if delegate is None:
+            return DelegateFailure.NOT_SENT
+        self._counters["forward.isolated"] += 1
+        fields = {"request": exchange.request.request_id, "carrier": delegate.name}
+        logger.info("request forwarded since no server is reachable", extra={"fields": fields})
+        wait_s = max(exchange.give_up_at - now, 0.0)
+        return self._forward_to(delegate, exchange, head, sock, wait_s, body)
+
+    def choose_connected(self, route: Route | None, now: float) -> MemberReport | None:
+        """Return a daemon that reaches the servers and may execute a request of *route*."""
+        is_query = route is not None and route.fan_out is not None
+        return self._delegation.choose_connected(is_query, now)
+
+    def _forward_to(
+        self,
+        delegate: MemberReport,
+        exchange: Exchange,
+        head: bytes,
+        sock: socket.socket,
+        wait_s: float,
+        body: bytes = b"",
+    ) -> RawReply | DelegateFailure:
         self._delegation.record_start(delegate)
-        answer = self._exchange(delegate, exchange, head, sock)
+        answer = self._exchange(delegate, exchange, head, sock, wait_s, body)
         failed = answer in (DelegateFailure.NOT_SENT, DelegateFailure.LOST)
         self._delegation.record_end(delegate, failed, self._now())
         self._counters["carry.failed" if failed else "carry.answered"] += 1
@@ -104,23 +140,28 @@
         return answer
 
     def _exchange(
-        self, delegate: MemberReport, exchange: Exchange, head: bytes, sock: socket.socket
+        self,
+        delegate: MemberReport,
+        exchange: Exchange,
+        head: bytes,
+        sock: socket.socket,
+        wait_s: float,
+        body: bytes,
     ) -> RawReply | DelegateFailure:
         now = self._now()
         request = exchange.request
         elapsed_ms = (now - request.received_at + FORWARDING_DELAY_S) * 1000
         endpoint = self._endpoints.setdefault(delegate.address, _DelegateEndpoint(delegate.address))
-        connection = self._pool.acquire(endpoint, request.request_id)
+        connection = self._pool.acquire(endpoint, request.request_id, exchange.route.idempotent)
         result: AsyncResult = AsyncResult()
         headers = [
             (ELAPSED_HEADER, f"{elapsed_ms:.1f}"),
             (VERSION_HEADER, str(exchange.config_version)),
         ]
-        data = head + encode_headers(headers) + b"\r\n"
+        data = head + encode_headers(headers) + b"\r\n" + body
         with DisconnectWatch(sock, lambda: result.set(DelegateFailure.CALLER_LEFT)):
             connection.request(data, result.set, lambda raw: raw)
-            wait_s = exchange.route.target_s + REPLY_GRACE_S - (now - request.received_at)
-            outcome = result.wait(max(wait_s, REPLY_GRACE_S))
+            outcome = result.wait(wait_s)
         if not isinstance(outcome, RawReply):
             connection.close()
         self._pool.release(endpoint, connection)
--- a/marigoldwalk/gateway/executor.py
+++ b/marigoldwalk/gateway/executor.py
@@ -8,7 +8,8 @@
 import gevent
 from gevent.event import AsyncResult
 
-from ..routing.exchanges import Abandon, Finish, Probe, Send
+from ..routing.exchanges import Abandon, CheckLinks, Finish, Probe, ReportIsolation, Send
+from .link_checker import LinkChecker
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -50,12 +51,19 @@
     """
 
     def __init__(
-        self, router: Router, pool: ConnectionPool, codec: HeaderCodec, now: Callable[[], float]
+        self,
+        router: Router,
+        pool: ConnectionPool,
+        codec: HeaderCodec,
+        now: Callable[[], float],
+        on_isolation: Callable[[bool], None] = lambda is_isolated: None,
     ) -> None:
         self._router = router
         self._pool = pool
         self._codec = codec
         self._now = now
+        self._on_isolation = on_isolation
+        self._link_checker = LinkChecker(router, pool, now, self._execute)
         self._active: dict[Exchange, ActiveExchange] = {}
         self._connections: dict[Attempt, ServerConnection] = {}
         self._loop = gevent.get_hub().loop
@@ -90,6 +98,10 @@
                 self._abandon(action.attempt)
             elif isinstance(action, Probe):
                 self._probe(action)
+            elif isinstance(action, CheckLinks):
+                self._link_checker.start(action)
+            elif isinstance(action, ReportIsolation):
+                self._on_isolation(action.is_isolated)
 
     def _send(self, action: Send) -> None:
         attempt = action.attempt
@@ -141,6 +153,10 @@
         if active is not None:
             self._rearm_timer(active)
 
+    def stop(self) -> None:
+        """Stop to check the links."""
+        self._link_checker.stop()
+
     def _finish(self, exchange: Exchange, answer: Answer) -> None:
         self._active[exchange].answer.set(answer)
 
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -12,6 +12,7 @@
 from ..daemon.http_server import HANDLER_KEY, SOCKET_KEY
 from ..errors import RefusalReason
 from ..routing.exchanges import CallerRequest, ErrorAnswer, ForwardedAnswer, MergedAnswer
+from ..routing.isolation import UNREACHABLE_ANSWER
 from ..util.disconnects import DisconnectWatch
 from .delegate_client import (
     ELAPSED_HEADER,
@@ -82,6 +83,8 @@
         if isinstance(exchange, ErrorAnswer):
             self._reporter.refused(parsed.request, exchange)
             return self._respond(environ, start_response, exchange)
+        if self._router.is_isolated and not self._must_run_here(exchange):
+            return self._run_elsewhere(exchange, parsed.body, environ, start_response)
         if exchange.route.fan_out is not None and not parsed.body:
             answer = self._delegate(exchange, environ)
             if answer is DelegateFailure.CALLER_LEFT:
@@ -105,7 +108,11 @@
         elapsed_ms = environ.get(ELAPSED_KEY, "")
         version = environ.get(VERSION_KEY, "")
         is_valid = _is_number(elapsed_ms) and version.isdecimal()
-        if not is_valid or not self._router.world.catalog.knows_version(int(version)):
+        if (
+            self._router.is_isolated
+            or not is_valid
+            or not self._router.world.catalog.knows_version(int(version))
+        ):
             return self._respond(environ, start_response, _DELEGATION_REFUSED)
         parsed = self._parse_request(environ, self._now() - float(elapsed_ms) / 1000)
         if isinstance(parsed, ErrorAnswer):
@@ -117,7 +124,43 @@
             # The forwarding daemon may not know yet that the content crashes servers.
             self._reporter.refused(parsed.request, exchange)
             return self._respond(environ, start_response, exchange)
-        return self._run_locally(exchange, parsed.body, environ, start_response)
+        answer = self._execute(exchange, parsed.body, environ)
+        if _is_unreachable(answer):
+            answer = _DELEGATION_REFUSED
+        return self._respond_or_drop(environ, start_response, answer)
+
+    def can_forward(self) -> bool:
+        """Return whether a daemon is known that reaches the servers, other than this one."""
+        return self._delegate_client.choose_connected(None, self._now()) is not None
+
+    def _must_run_here(self, exchange: Exchange) -> bool:
+        """Return whether this daemon runs a request although servers take no connections from it.
+
+        That is so if its open connections still work and no other daemon can run it.
+        """
+        if self._delegate_client.choose_connected(exchange.route, self._now()) is not None:
+            return False
+        return self._router.world.reachability.hears_servers(self._now())
+
+    def _run_elsewhere(
+        self,
+        exchange: Exchange,
+        body: bytes,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer a request that this daemon cannot run, since it reaches no server."""
+        head = self._encode_forwarded(environ, exchange, body)
+        answer = self._delegate_client.forward_isolated(exchange, head, body, environ[SOCKET_KEY])
+        if answer is DelegateFailure.CALLER_LEFT:
+            return self._drop_connection(environ)
+        if answer is DelegateFailure.LOST:
+            answer = ErrorAnswer(502, RefusalReason.SERVERS_FAILED)
+        elif answer is DelegateFailure.NOT_SENT:
+            answer = UNREACHABLE_ANSWER
+        if isinstance(answer, ErrorAnswer):
+            self._reporter.answered(exchange, answer, self._now())
+        return self._respond(environ, start_response, answer)
 
     def _run_locally(
         self,
@@ -127,18 +170,35 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Answer a request without delegating it."""
+        answer = self._execute(exchange, body, environ)
+        if _is_unreachable(answer):
+            return self._run_elsewhere(exchange, body, environ, start_response)
+        return self._respond_or_drop(environ, start_response, answer)
+
+    def _execute(self, exchange: Exchange, body: bytes, environ: dict[str, Any]) -> Answer | None:
+        """Return this daemon's answer, or ``None`` if the caller has disconnected."""
         active = self._executor.start(exchange, self._encode_head(exchange, environ, body), body)
         answer = self._wait(active, environ)
-        self._reporter.answered(exchange, answer, self._now())
+        if not _is_unreachable(answer):
+            self._reporter.answered(exchange, answer, self._now())
+        return answer
+
+    def _respond_or_drop(
+        self, environ: dict[str, Any], start_response: StartResponse, answer: Answer | None
+    ) -> Iterable[bytes]:
         if answer is None:
             return self._drop_connection(environ)
         return self._respond(environ, start_response, answer)
 
     def _delegate(self, exchange: Exchange, environ: dict[str, Any]) -> RawReply | DelegateFailure:
+        head = self._encode_forwarded(environ, exchange, b"")
+        return self._delegate_client.forward(exchange, head, environ[SOCKET_KEY])
+
+    def _encode_forwarded(self, environ: dict[str, Any], exchange: Exchange, body: bytes) -> bytes:
+        """Return the request line and headers for a request to another daemon."""
         headers = environ[HANDLER_KEY].headers.items()
         sent = [*self._codec.forwarded_headers(headers), *self._codec.deadline_headers(headers)]
-        head = encode_request_head(exchange.request.method, exchange.request.path, sent, b"")
-        return self._delegate_client.forward(exchange, head, environ[SOCKET_KEY])
+        return encode_request_head(exchange.request.method, exchange.request.path, sent, body)
 
     def _encode_head(self, exchange: Exchange, environ: dict[str, Any], body: bytes) -> bytes:
         forwarded = [
@@ -214,6 +274,11 @@
         return [body]
 
 
+def _is_unreachable(answer: Answer | None) -> bool:
+    """Return whether the daemon has lost its links, so that another one may run the request."""
+    return answer is UNREACHABLE_ANSWER
+
+
 class _ParsedRequest:
     __slots__ = ("body", "request")
 
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -35,6 +35,8 @@
 """Rounds within which daemons that start together discover each other, at 75 members."""
 NEWS_INTERVAL_S = 0.2
 """Interval between checks for urgent news, which bounds the rate of their datagrams."""
+MAX_NEWS_REPORTS = 14
+"""Maximum number of reports of members in a datagram of urgent news, which fits into one packet."""
 MAX_DATAGRAM_BYTES = 65_535
 MAX_NAMES_LOGGED = 12
 
@@ -89,13 +91,19 @@
             gevent.sleep(ROUND_INTERVAL_S if is_converged else FAST_ROUND_INTERVAL_S)
 
     def _send_news(self) -> None:
-        """Send new evidence at once; it must reach all daemons before the content comes again."""
+        """Send urgent news at once.
+
+        Evidence of crashes must reach all daemons before the content comes again, and callers wait
+        while their requests are handed to a daemon that reaches no server.
+        """
         while True:
             gevent.sleep(NEWS_INTERVAL_S)
-            if not self._suspects.take_news():
+            has_evidence = self._suspects.take_news()
+            reports = self._membership.take_news()[:MAX_NEWS_REPORTS]
+            if not has_evidence and not reports:
                 continue
             now = self._now()
-            datagram = encode([self._membership.own], self._suspects.evidence(now))
+            datagram = encode(reports or [self._membership.own], self._suspects.evidence(now))
             for target in self._membership.urgent_targets(now):
                 self._counters["gossip.urgent"] += 1
                 self._send(datagram, target)
@@ -169,6 +177,7 @@
             r.domain,
             r.cores,
             r.is_leaving,
+            r.is_isolated,
         )
         for r in reports
     ]
@@ -194,6 +203,7 @@
                 m.domain,
                 m.cores,
                 m.leaving,
+                m.isolated,
             )
             for m in gossip.members
             if _is_complete(m)
--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -211,6 +211,10 @@
         self._limits: dict[tuple[str, ...], ConcurrencyLimit] = {}
         self._deadlines: dict[str, UsualDeadline] = {}
 
+    def reset(self) -> None:
+        """Return to the initial limits."""
+        self._limits.clear()
+
     def limit(self, services: tuple[str, ...]) -> ConcurrencyLimit:
         """Return the limit for exchanges that need all of *services*."""
         limit = self._limits.get(services)
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -63,7 +63,8 @@
             self.shard_share = 1 / members
             return
         live = [self.membership.own, *(row.report for row in self.membership.alive(now))]
-        domains = {report.domain for report in live}
+        live = [report for report in live if not report.is_isolated]
+        domains = {self.membership.own.domain, *(report.domain for report in live)}
         count = max(1, int(DELEGATE_SHARE * max_connections / DELEGATE_CONNECTIONS / len(domains)))
         by_domain = {domain: _choose_delegates(live, domain, count) for domain in domains}
         total = sum(len(reports) for reports in by_domain.values())
@@ -93,6 +94,25 @@
         usable = self._usable(self.delegates, now) or self._usable(self.remote_delegates, now)
         return min(usable, key=self._load, default=None)
 
+    def choose_connected(self, is_query: bool, now: float) -> MemberReport | None:
+        """Return the daemon that executes a request for this one, which reaches no server.
+
+        Fan-out queries go to delegates if there are any.
+        """
+        usable = []
+        if is_query:
+            usable = self._usable({**self.delegates, **self.remote_delegates}, now)
+        if not usable:
+            reports = (row.report for row in self.membership.alive(now))
+            connected = {r.name: r for r in reports if not r.is_leaving and not r.is_isolated}
+            usable = self._usable(connected, now)
+        own_domain = self.membership.own.domain
+        return min(
+            usable,
+            key=lambda r: (self._load(r)[0], r.domain != own_domain, self._load(r)),
+            default=None,
+        )
+
     def _usable(self, delegates: dict[str, MemberReport], now: float) -> list[MemberReport]:
         return [report for report in delegates.values() if not self._is_in_backoff(report, now)]
 
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -93,6 +93,8 @@
     is_trial: bool = False
     """Whether it was sent alone, since servers had crashed under the content."""
     is_open: bool = True
+    is_connected: bool = False
+    """Whether the server has taken a new connection for the attempt."""
 
 
 class TaskState(Enum):
@@ -263,4 +265,21 @@
     answer: Answer
 
 
-Action = Send | Abandon | Probe | Finish
+@dataclass(frozen=True, slots=True)
+class CheckLinks:
+    """An action: open a connection to each of the servers, to learn whether any is reachable."""
+
+    rows: tuple[ServerRow, ...]
+    started_at: float
+    is_for_connections: bool
+    """Whether servers took no connections, while open ones may still work."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportIsolation:
+    """An action: tell the other daemons whether this one reaches any server."""
+
+    is_isolated: bool
+
+
+Action = Send | Abandon | Probe | Finish | CheckLinks | ReportIsolation
--- a/marigoldwalk/routing/finishing.py
+++ b/marigoldwalk/routing/finishing.py
@@ -53,6 +53,7 @@
 def finish(world: RoutingWorld, exchange: Exchange, answer: Answer) -> None:
     """Answer *exchange* and end its open tasks."""
     exchange.is_answered = True
+    world.exchanges.pop(exchange, None)
     record_end(world, exchange)
     for task in exchange.tasks:
         task.fail("the answer left without it")
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -76,6 +76,8 @@
     cores: float = 1.0
     """Processor time that the daemon may use, in cores."""
     is_leaving: bool = False
+    is_isolated: bool = False
+    """Whether it reaches no backend server."""
 
 
 @dataclass(slots=True)
@@ -123,6 +125,7 @@
         self._round = 0
         self._urgent_count = 0
         self._last_round_at = now
+        self._news: dict[str, MemberReport] = {}
 
     def rows(self) -> list[MemberRow]:
         """Return the entries of all other known members."""
@@ -207,6 +210,18 @@
         """Report from now on that this daemon is stopping."""
         self.own = replace(self.own, is_leaving=True)
 
+    def set_isolated(self, is_isolated: bool) -> None:
+        """Report from now on whether this daemon reaches no backend server."""
+        heartbeat = self.own.heartbeat + 1
+        self.own = replace(self.own, is_isolated=is_isolated, heartbeat=heartbeat)
+        self._news[self.own.name] = self.own
+
+    def take_news(self) -> list[MemberReport]:
+        """Return the reports that other daemons should have at once, this daemon's first."""
+        news, self._news = self._news, {}
+        others = [report for name, report in news.items() if name != self.own.name]
+        return [self.own, *others] if news else []
+
     def merge(self, reports: Sequence[MemberReport], now: float) -> bool:
         """Merge reports from another daemon; return whether to answer them at once.
 
@@ -242,6 +257,8 @@
             suspect_after_s = SUSPECT_AFTER_S if is_local else REMOTE_SUSPECT_AFTER_S
             self._rows[report.name] = MemberRow(report, now, suspect_after_s)
         elif _version_of(report) > _version_of(row.report):
+            if report.is_isolated != row.report.is_isolated:
+                self._news[report.name] = report
             row.report = report
             row.last_heartbeat_at = now
 
--- a/marigoldwalk/routing/reachability.py
+++ b/marigoldwalk/routing/reachability.py
@@ -43,6 +43,12 @@
         """When any server last sent something or took a connection."""
         self.opened_at = started_at
         """When any server last took a connection."""
+        self.is_isolated = False
+        """Whether a check has found that this daemon reaches no server."""
+        self.isolated_at = 0.0
+        self.is_checking = False
+        self.checked_at = started_at
+        """When the latest check began."""
         self._silent: set[str] = set()
         self._unopened: set[str] = set()
         self._is_reported = False
@@ -85,10 +91,18 @@
         silence_s = now - self.heard_at
         if len(self._silent) >= min(MIN_SILENT, server_count) and silence_s >= SILENCE_S:
             return True
-        if len(self._unopened) >= min(MIN_UNOPENED, server_count):
+        if self.lacks_connections(server_count):
             return now - self.opened_at >= SILENCE_S
         return bool(self._silent) and silence_s > QUIET_S
 
+    def hears_servers(self, now: float) -> bool:
+        """Return whether any server was heard from a short time ago."""
+        return now - self.heard_at <= QUIET_S
+
+    def lacks_connections(self, server_count: int) -> bool:
+        """Return whether so many servers took no connection that the links may be lost."""
+        return len(self._unopened) >= min(MIN_UNOPENED, server_count)
+
     def _report_begin(self, now: float) -> None:
         is_silent = len(self._silent) >= MIN_SILENT and now - self.heard_at >= SILENCE_S
         if self._is_reported or not is_silent:
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -8,6 +8,7 @@
 from .admission import record_end
 from .exchanges import Abandon, ErrorAnswer, Exchange, Probe, Task
 from .finishing import finish, finish_if_due
+from .isolation import apply_check, check_if_doubtful
 from .outcomes import classify_loss, handle_loss, handle_reply, is_probe_needed
 from .sending import (
     hedge_if_due,
@@ -19,8 +20,18 @@
 from .suspects import EVIDENCE_TTL_S
 
 if TYPE_CHECKING:
-    from .exchanges import Action, Attempt, CallerRequest, LostAttempt, ServerReply
+    from collections.abc import Sequence
+
+    from .exchanges import (
+        Action,
+        Attempt,
+        CallerRequest,
+        CheckLinks,
+        LostAttempt,
+        ServerReply,
+    )
     from .model import Route
+    from .tables import ServerRow
     from .world import RoutingWorld
 
 ANSWER_MARGIN_S = 0.004
@@ -65,17 +76,41 @@
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Send the tasks of a new exchange, or refuse it."""
         self.world.now = now
+        self.world.exchanges[exchange] = None
         for service in self._services(exchange.route):
             exchange.tasks.append(Task(exchange, service))
         refusal = start_tasks(self.world, exchange)
         if refusal is not None:
             finish(self.world, exchange, refusal)
         finish_if_due(self.world, exchange)
-        return self.world.take_actions()
+        return self._take_actions()
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this daemon reaches no server, so that others must run the requests."""
+        return self.world.reachability.is_isolated
 
     def opened(self, attempt: Attempt, now: float) -> None:
         """Handle a new connection that the server of *attempt* has taken."""
-        self.world.reachability.record_opened(attempt.row, now)
+        attempt.is_connected = True
+        self.link_opened(attempt.row, now)
+
+    def link_opened(self, row: ServerRow, now: float) -> None:
+        """Handle a new connection that a server has taken, whatever it was opened for."""
+        self.world.reachability.record_opened(row, now)
+
+    def check_links(self, now: float) -> list[Action]:
+        """Begin another check of the links if one is due."""
+        self.world.now = now
+        return self._take_actions()
+
+    def links_checked(
+        self, check: CheckLinks, unopened: Sequence[ServerRow], now: float
+    ) -> list[Action]:
+        """Handle a check of the links in which the servers in *unopened* took no connection."""
+        self.world.now = now
+        apply_check(self.world, check, unopened)
+        return self.world.take_actions()
 
     def reply(self, attempt: Attempt, reply: ServerReply, now: float) -> list[Action]:
         """Handle a server's reply."""
@@ -89,7 +124,7 @@
         if is_probe_needed(attempt, lost):
             self.world.counters["suspect.probe"] += 1
             self.world.actions.append(Probe(attempt, lost))
-            return self.world.take_actions()
+            return self._take_actions()
         handle_loss(self.world, attempt, lost)
         return self._complete_step(attempt)
 
@@ -109,7 +144,7 @@
             self._record_lag(exchange)
             self._send_due(exchange)
             finish_if_due(world, exchange)
-        return world.take_actions()
+        return self._take_actions()
 
     def _record_lag(self, exchange: Exchange) -> None:
         """Record the lag of an answer that was due at its target time."""
@@ -136,6 +171,7 @@
         self.world.counters["caller.left"] += 1
         exchange.caller_left_at = now
         exchange.is_answered = True
+        self.world.exchanges.pop(exchange, None)
         record_end(self.world, exchange)
         for task in exchange.tasks:
             task.fail("the caller left")
@@ -174,6 +210,10 @@
         finish_if_due(self.world, task.exchange)
         for dequeued in serve_queue(self.world, task.service):
             finish_if_due(self.world, dequeued.exchange)
+        return self._take_actions()
+
+    def _take_actions(self) -> list[Action]:
+        check_if_doubtful(self.world)
         return self.world.take_actions()
 
     def _abandon_if_due(self, exchange: Exchange) -> None:
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -131,6 +131,15 @@
         self.unreachable_count += 1
         self.backoff_until = max(self.backoff_until, now + backoff_s)
 
+    def forget_failures(self) -> None:
+        """Forget all failures, since they say nothing about the server."""
+        self.failures = 0.0
+        self.unreachable_count = 0
+        self.backoff_until = 0.0
+        self.latency_ratios.clear()
+        self.lowest_ratios = (1.0, 1.0)
+        self.latency_ratio = 1.0
+
     def record_leaving(self, now: float) -> bool:
         """Record that the server is leaving; return whether that is new."""
         is_new = self.leaving_at is None
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -20,7 +20,7 @@
 from .suspects import Suspects
 
 if TYPE_CHECKING:
-    from .exchanges import Action
+    from .exchanges import Action, Exchange
     from .model import Route
 
 
@@ -67,6 +67,8 @@
         self.suspects = Suspects(self.counters)
         self.reachability = Reachability(started_at)
         self.actions: list[Action] = []
+        self.exchanges: dict[Exchange, None] = {}
+        """The exchanges that are not answered yet, oldest first."""
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyTracker] = {}
         self._queues: dict[str, TaskQueue] = {}
--- a/marigoldwalk/wire/gen/gossip/ttypes.py
+++ b/marigoldwalk/wire/gen/gossip/ttypes.py
@@ -29,6 +29,7 @@
      - domain
      - cores: CPU time available to the daemon, in cores.
      - leaving
+     - isolated: Whether the daemon reaches no backend server.
 
     """
 
@@ -41,10 +42,11 @@
         'domain',
         'cores',
         'leaving',
+        'isolated',
     )
 
 
-    def __init__(self, name=None, host=None, port=None, incarnation=None, heartbeat=None, domain=None, cores=None, leaving=None,):
+    def __init__(self, name=None, host=None, port=None, incarnation=None, heartbeat=None, domain=None, cores=None, leaving=None, isolated=False,):
         self.name = name
         self.host = host
         self.port = port
@@ -53,6 +55,7 @@
         self.domain = domain
         self.cores = cores
         self.leaving = leaving
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -103,6 +106,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -145,6 +153,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 8)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 9)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -552,6 +564,7 @@
     (6, TType.STRING, 'domain', 'UTF8', None, ),  # 6
     (7, TType.DOUBLE, 'cores', None, None, ),  # 7
     (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.BOOL, 'isolated', None, False, ),  # 9
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
--- a/marigoldwalk/wire/gossip.thrift
+++ b/marigoldwalk/wire/gossip.thrift
@@ -19,6 +19,8 @@
   /** CPU time available to the daemon, in cores. */
   7: required double cores
   8: required bool leaving
+  /** Whether the daemon reaches no backend server. */
+  9: optional bool isolated = false
 }
 
 /** A server that crashed while it executed a request content. */
