Complete the requests that were in progress when the links were lost

A 503 promises that the request has not run, so a request that this daemon or the one that it asked has begun to send is answered 502 if no other daemon takes it.

--- a/marigoldwalk/gateway/delegate_client.py
+++ b/marigoldwalk/gateway/delegate_client.py
@@ -43,6 +43,9 @@
 REFUSED_STATUS = 421
 """Status with which a delegate refuses a query, since it does not know the query's configuration
 version or cannot route the query."""
+STOPPED_HEADER = "X-Gateway-Stopped"
+"""Header of such a refusal if the delegate had begun to send the query and has then lost its links,
+so that servers may have run it."""
 FORWARDING_DELAY_S = 0.008
 """Round trip to a delegate and forwarding in both directions, on half a core."""
 REPLY_GRACE_S = 0.3
@@ -56,9 +59,13 @@
 
     CALLER_LEFT = "the caller disconnected"
     NOT_SENT = "no delegate started the query, so this daemon may run it"
+    STOPPED = "the delegate has lost its links; a query that it has begun may be run again"
     LOST = "the delegate may have run the query, so it must not be sent to servers again"
 
 
+_FAILURES = (DelegateFailure.NOT_SENT, DelegateFailure.STOPPED, DelegateFailure.LOST)
+
+
 @dataclass(slots=True, eq=False)
 class _DelegateEndpoint:
     """A delegate's address and its number of idle connections."""
@@ -127,7 +134,7 @@
     ) -> RawReply | DelegateFailure:
         self._delegation.record_start(delegate)
         answer = self._exchange(delegate, exchange, head, sock, wait_s, body)
-        failed = answer in (DelegateFailure.NOT_SENT, DelegateFailure.LOST)
+        failed = answer in _FAILURES
         self._delegation.record_end(delegate, failed, self._now())
         self._counters["carry.failed" if failed else "carry.answered"] += 1
         if failed:
@@ -177,5 +184,6 @@
     if isinstance(outcome, LostAttempt):
         return DelegateFailure.LOST if outcome.may_have_run else DelegateFailure.NOT_SENT
     if isinstance(outcome, RawReply) and outcome.status == REFUSED_STATUS:
-        return DelegateFailure.NOT_SENT
+        was_begun = any(name == STOPPED_HEADER for name, _ in outcome.headers)
+        return DelegateFailure.STOPPED if was_begun else DelegateFailure.NOT_SENT
     return outcome
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -18,6 +18,7 @@
     ELAPSED_HEADER,
     ELAPSED_KEY,
     REFUSED_STATUS,
+    STOPPED_HEADER,
     VERSION_HEADER,
     VERSION_KEY,
     DelegateFailure,
@@ -45,6 +46,7 @@
 StartResponse = Any
 
 _DELEGATION_REFUSED = ErrorAnswer(REFUSED_STATUS, RefusalReason.NOT_READY)
+_DELEGATION_STOPPED = ErrorAnswer(REFUSED_STATUS, RefusalReason.SERVERS_UNREACHABLE)
 _CONNECTION_HEADERS = frozenset(("connection", "keep-alive", "content-length", "date", "server"))
 
 
@@ -92,7 +94,7 @@
             if answer is DelegateFailure.LOST:
                 answer = ErrorAnswer(502, RefusalReason.SERVERS_FAILED)
                 self._reporter.answered(exchange, answer, self._now())
-            if answer is not DelegateFailure.NOT_SENT:
+            if answer not in (DelegateFailure.NOT_SENT, DelegateFailure.STOPPED):
                 return self._respond(environ, start_response, answer)
         return self._run_locally(exchange, parsed.body, environ, start_response)
 
@@ -126,7 +128,7 @@
             return self._respond(environ, start_response, exchange)
         answer = self._execute(exchange, parsed.body, environ)
         if _is_unreachable(answer):
-            answer = _DELEGATION_REFUSED
+            answer = _DELEGATION_STOPPED if exchange.may_have_run else _DELEGATION_REFUSED
         return self._respond_or_drop(environ, start_response, answer)
 
     def can_forward(self) -> bool:
@@ -154,10 +156,10 @@
         answer = self._delegate_client.forward_isolated(exchange, head, body, environ[SOCKET_KEY])
         if answer is DelegateFailure.CALLER_LEFT:
             return self._drop_connection(environ)
-        if answer is DelegateFailure.LOST:
-            answer = ErrorAnswer(502, RefusalReason.SERVERS_FAILED)
-        elif answer is DelegateFailure.NOT_SENT:
+        if answer is DelegateFailure.NOT_SENT and not exchange.may_have_run:
             answer = UNREACHABLE_ANSWER
+        elif isinstance(answer, DelegateFailure):
+            answer = ErrorAnswer(502, RefusalReason.SERVERS_FAILED)
         if isinstance(answer, ErrorAnswer):
             self._reporter.answered(exchange, answer, self._now())
         return self._respond(environ, start_response, answer)
@@ -266,6 +268,8 @@
         else:
             status, body = answer.status, answer.reason.value.encode()
             headers = _own_headers(answer)
+            if answer is _DELEGATION_STOPPED:
+                headers.append((STOPPED_HEADER, "1"))
         headers.append(("Content-Length", str(len(body))))
         if self.is_stopping or environ[HANDLER_KEY].close_connection:
             environ[HANDLER_KEY].close_connection = True
--- a/marigoldwalk/routing/isolation.py
+++ b/marigoldwalk/routing/isolation.py
@@ -121,9 +121,9 @@
 
 
 def _stop(world: RoutingWorld, exchange: Exchange) -> None:
+    finish(world, exchange, UNREACHABLE_ANSWER)
     for task in exchange.tasks:
         world.actions.extend(Abandon(attempt) for attempt in task.open_attempts)
-    finish(world, exchange, UNREACHABLE_ANSWER)
 
 
 def _rejoin(world: RoutingWorld) -> None:
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
+from dataclasses import replace
 
 from gevent import socket
 from gevent.server import StreamServer
@@ -113,8 +114,9 @@
             other.kill()
 
 
-def introduce(entry, other):
-    """Make *other* a member in the eyes of *entry*, as a report by gossip would."""
-    report = MemberReport("g-2", other.gateway.peer_address, 1, 1, "north")
+def introduce(entry, other, heartbeat=1, **changes):
+    """Give *entry* a report on *other*, as gossip would."""
+    address = other.gateway.peer_address
+    report = replace(MemberReport("g-2", address, 1, heartbeat, "north"), **changes)
     gateway = entry.gateway
     gateway._membership.merge([report], gateway._clock.now())
