Tell others of a crash only once another server takes a connection

The closed connection and the refused or unanswered next one prove a crash only if the links work. The evidence went to all daemons at once.

A crash that a daemon has seen now counts at this daemon alone until a server takes a connection, which a check of the links settles within a round trip or two. If the check finds the daemon isolated, the evidence is withdrawn. test_loss_of_the_own_links_is_no_evidence_against_content failed before (four contents reported).

--- a/marigoldwalk/routing/isolation.py
+++ b/marigoldwalk/routing/isolation.py
@@ -43,7 +43,7 @@
     state = world.reachability
     if state.is_checking or world.now < state.checked_at + CHECK_INTERVAL_S:
         return
-    if not state.is_isolated and not state.is_doubtful(len(world.catalog.rows), world.now):
+    if not state.is_isolated and not _is_in_doubt(world):
         return
     rows = choose_servers(world)
     if not rows:
@@ -55,6 +55,13 @@
     world.actions.append(CheckLinks(rows, world.now, lacks_connections))
 
 
+def _is_in_doubt(world: RoutingWorld) -> bool:
+    # A server that refuses connections has crashed only if others take them.
+    if world.suspects.has_unconfirmed:
+        return True
+    return world.reachability.is_doubtful(len(world.catalog.rows), world.now)
+
+
 def choose_servers(world: RoutingWorld) -> tuple[ServerRow, ...]:
     """Return the servers to which a check opens connections.
 
@@ -102,6 +109,7 @@
         "open": len(world.exchanges),
     }
     logger.warning("no server is reachable", extra={"fields": fields})
+    world.suspects.withdraw()
     world.actions.append(ReportIsolation(True))
     for exchange in list(world.exchanges):
         if _may_run_elsewhere(exchange):
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -105,6 +105,8 @@
 
 def _record_crashes(world: RoutingWorld, server_id: str) -> None:
     """Record a crash if the server refuses connections just after it lost a request."""
+    if world.reachability.is_isolated:
+        return
     for fingerprint in world.suspects.record_unreachable(server_id, world.now):
         world.counters["suspect.crash"] += 1
         fields = {
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -98,6 +98,7 @@
     def link_opened(self, row: ServerRow, now: float) -> None:
         """Handle a new connection that a server has taken, whatever it was opened for."""
         self.world.reachability.record_opened(row, now)
+        self.world.suspects.confirm(now)
 
     def check_links(self, now: float) -> list[Action]:
         """Begin another check of the links if one is due."""
--- a/marigoldwalk/routing/suspects.py
+++ b/marigoldwalk/routing/suspects.py
@@ -92,6 +92,26 @@
         self._crashes: dict[str, dict[Crash, float]] = {}
         self._harmless: OrderedDict[str, float] = OrderedDict()
         self._has_news = False
+        self._unconfirmed: set[tuple[str, Crash]] = set()
+        """The contents and crashes that count at this daemon alone so far."""
+
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether this daemon has seen crashes that may be losses of its own links."""
+        return bool(self._unconfirmed)
+
+    def confirm(self, now: float) -> None:
+        """Record that this daemon reaches servers, so the servers that refused it have crashed."""
+        confirmed, self._unconfirmed = self._unconfirmed, set()
+        if any(not self._is_harmless(fingerprint, now) for fingerprint, _ in confirmed):
+            self._has_news = True
+
+    def withdraw(self) -> None:
+        """Forget the unconfirmed crashes, since this daemon has lost its own links."""
+        for fingerprint, crash in self._unconfirmed:
+            self._crashes.get(fingerprint, {}).pop(crash, None)
+        self._unconfirmed.clear()
+        self._losses.clear()
 
     def take_news(self) -> bool:
         """Return whether there is new evidence that other daemons should have at once."""
@@ -104,12 +124,18 @@
         losses.append((now, fingerprint, crash))
 
     def record_unreachable(self, server_id: str, now: float) -> list[str]:
-        """Record that a server refuses connections; return the contents that crashed it."""
-        return [
-            fingerprint
+        """Record that a server refuses connections; return the contents that crashed it.
+
+        The crashes count at this daemon at once, so that it does not send the content on. Other
+        daemons get them after :meth:`confirm`.
+        """
+        crashed = [
+            (fingerprint, crash)
             for lost_at, fingerprint, crash in self._losses.pop(server_id, ())
             if now - lost_at <= CRASH_CONFIRMATION_S and self._add_crash(fingerprint, crash, now)
         ]
+        self._unconfirmed.update(crashed)
+        return [fingerprint for fingerprint, _ in crashed]
 
     def record_run(self, fingerprint: str, now: float) -> None:
         """Record that a server has executed the content successfully."""
@@ -152,11 +178,15 @@
                 fingerprint,
             )
             for fingerprint in list(self._crashes)
-            if (crashes := self._valid_crashes(fingerprint, now))
+            if (crashes := self._confirmed_crashes(fingerprint, now))
         ]
         contents.sort()
         return [
-            Evidence(fingerprint, _strongest(self._crashes[fingerprint], now), is_harmless)
+            Evidence(
+                fingerprint,
+                _strongest(self._confirmed_crashes(fingerprint, now), now),
+                is_harmless,
+            )
             for _, is_harmless, *_, fingerprint in contents[:MAX_EVIDENCE_PER_DATAGRAM]
         ]
 
@@ -173,6 +203,7 @@
             ]
             if any(added):
                 changed.append(evidence.fingerprint)
+                self._has_news = self._has_news or not self._is_harmless(evidence.fingerprint, now)
         return changed
 
     def _add_crash(self, fingerprint: str, crash: Crash, crashed_at: float) -> bool:
@@ -186,10 +217,7 @@
         if len(at_service) > MAX_CRASHES_PER_SERVICE:
             self._counters["suspect.surplus"] += 1
             del crashes[_weakest(at_service)]
-        if key not in crashes:
-            return False
-        self._has_news = self._has_news or not self._is_harmless(fingerprint, crashed_at)
-        return True
+        return key in crashes
 
     def _valid_crashes(self, fingerprint: str, now: float) -> dict[Crash, float]:
         """Return the crashes under the content that have not expired, with their times."""
@@ -203,6 +231,10 @@
             del self._crashes[fingerprint]
         return crashes
 
+    def _confirmed_crashes(self, fingerprint: str, now: float) -> dict[Crash, float]:
+        crashes = self._valid_crashes(fingerprint, now)
+        return {c: time for c, time in crashes.items() if (fingerprint, c) not in self._unconfirmed}
+
     def _is_harmless(self, fingerprint: str, now: float) -> bool:
         ran_at = self._harmless.get(fingerprint)
         return ran_at is not None and now - ran_at < EVIDENCE_TTL_S
--- a/tests/gateway/test_partitioned_daemon.py
+++ b/tests/gateway/test_partitioned_daemon.py
@@ -146,6 +146,38 @@
         assert ask(fleet.entry, data)[0][0] in (502, 504)
 
 
+@pytest.mark.parametrize("how", [RESET, REFUSED])
+def test_loss_of_the_own_links_is_no_evidence_against_content(how):
+    servers = make_servers()
+    servers["s-1"] = [StandinServer(f"i-1-{copy}", answer=close_soon) for copy in range(2)]
+    with linked_fleet(ROUTES, servers) as fleet:
+        suspects = fleet.entry.gateway.world.suspects
+        first = [
+            gevent.spawn(ask, fleet.entry, request(f"/one/{n}", request_id=f"q-{n}"))
+            for n in range(4)
+        ]
+        gevent.sleep(CLOSE_AFTER_S / 2)
+        fleet.cut(how)
+        news = []
+        while not is_isolated(fleet.entry):
+            gevent.spawn(ask_all, fleet.entry, "found")
+            gevent.sleep(0.02)
+            news.append(suspects.take_news())
+        gevent.joinall(first)
+        now = fleet.entry.gateway._clock.now()
+        assert suspects.evidence(now) == []
+        assert not any(news)
+
+
+CLOSE_AFTER_S = 0.1
+
+
+def close_soon(environ, start_response):
+    """Close the connection without an answer."""
+    gevent.sleep(CLOSE_AFTER_S)
+    raise ConnectionResetError("the reply is lost")
+
+
 def is_isolated(daemon):
     return daemon.gateway.world.reachability.is_isolated
 
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -10,6 +10,7 @@
 from marigoldwalk.routing.exchanges import (
     Abandon,
     CallerRequest,
+    CheckLinks,
     Exchange,
     Finish,
     LossReason,
@@ -174,6 +175,8 @@
                 self._end(action.attempt, LostAttempt(LossReason.ABANDONED, may_have_run=True))
             elif isinstance(action, Probe):
                 self.schedule(self.now + PROBE_S, lambda probe=action: self._end_probe(probe))
+            elif isinstance(action, CheckLinks):
+                self.schedule(self.now + PROBE_S, lambda check=action: self._end_check(check))
 
     def _send(self, attempt):
         server_id = attempt.row.server_id
@@ -204,6 +207,13 @@
         self._perform(self.router.probed(probe, failure, self.now))
         self._arm(probe.attempt.task.exchange)
 
+    def _end_check(self, check):
+        unopened = [row for row in check.rows if not self._is_listening(row.server_id)]
+        for row in check.rows:
+            if row not in unopened:
+                self.router.link_opened(row, self.now)
+        self._perform(self.router.links_checked(check, unopened, self.now))
+
     def _is_listening(self, server_id):
         return True
 
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -27,6 +27,23 @@
     record = Crash(server, service, occasion or f"q-{server}-{now}", is_trial)
     suspects.record_loss(fingerprint, server, record, now)
     suspects.record_unreachable(server, now + 0.1)
+    suspects.confirm(now + 0.1)
+
+
+def test_crash_that_may_be_a_loss_of_the_own_links_counts_at_this_daemon_alone():
+    suspects = Suspects()
+    for number in range(3):
+        suspects.record_loss(
+            "f", f"i-{number}", Crash(f"i-{number}", "s-1", f"q-{number}", True), 1.0
+        )
+        suspects.record_unreachable(f"i-{number}", 1.1)
+    assert suspects.is_refused("f", 1.2)
+    assert suspects.evidence(1.2) == []
+    assert not suspects.take_news()
+    suspects.withdraw()
+    suspects.confirm(1.3)
+    assert not suspects.is_refused("f", 1.3)
+    assert not suspects.take_news()
 
 
 def test_content_is_refused_after_it_has_crashed_three_servers():
