--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -17,7 +17,7 @@
 
 from ..daemon.scripted import TEST_TIMEOUT_S
 
-REPORT = MemberReport("m-1", Address("10.0.0.1", 7000), 17, 4, "north", 0.5, True)
+REPORT = MemberReport("m-1", Address("10.0.0.1", 7000), 17, 4, "north", 0.5, True, True)
 CRASHES = (
     Crash("i-1", "s-1", "q-1", False, 1.5),
     Crash("i-2", "s-2", "q-1/7", True, 0.25),
@@ -31,6 +31,14 @@
     assert message.evidence == (EVIDENCE,)
 
 
+def test_member_of_an_earlier_release_counts_as_connected():
+    buffer = TMemoryBuffer()
+    member = ttypes.Member("m-1", "10.0.0.1", 7000, 17, 4, "north", 0.5, True, None)
+    ttypes.Gossip([member], []).write(TBinaryProtocolAccelerated(buffer))
+    (decoded,) = decode(buffer.getvalue()).reports
+    assert not decoded.is_isolated
+
+
 def test_evidence_of_an_earlier_release_counts_each_server():
     buffer = TMemoryBuffer()
     record = ttypes.Evidence("f", ["i-1", "i-2"])
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -19,6 +19,7 @@
     Send,
     ServerReply,
 )
+from marigoldwalk.routing.isolation import CHECK_INTERVAL_S
 from marigoldwalk.routing.model import (
     FanOut,
     Registration,
@@ -213,6 +214,9 @@
             if row not in unopened:
                 self.router.link_opened(row, self.now)
         self._perform(self.router.links_checked(check, unopened, self.now))
+        if self.router.is_isolated:
+            next_at = self.now + CHECK_INTERVAL_S
+            self.schedule(next_at, lambda: self._perform(self.router.check_links(self.now)))
 
     def _is_listening(self, server_id):
         return True
--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -156,3 +156,41 @@
     for own in reports:
         source = Readers(membership_of(own, reports)).choose(NOW)
         assert (source is None) == (own.name in ("m-3", "m-4", "m-5"))
+
+
+def isolated(reports, *numbers):
+    return [
+        replace(known, is_isolated=True) if n in numbers else known
+        for n, known in enumerate(reports)
+    ]
+
+
+def test_a_daemon_that_reaches_no_server_is_no_delegate():
+    reports = isolated(fleet(75, strong=(0, 2)), 0)
+    assert set(delegation_of(reports[10], reports).delegates) == {"m-2"}
+
+
+def test_a_delegate_that_reaches_no_server_hands_its_queries_to_another_one():
+    reports = isolated(fleet(75, strong=(0, 2)), 0)
+    delegation = delegation_of(reports[0], reports)
+    assert not delegation.is_delegate
+    assert delegation.choose_connected(True, NOW).name == "m-2"
+
+
+def test_requests_are_handed_to_the_least_loaded_daemon_that_reaches_servers():
+    reports = isolated(fleet(6), 0, 2)
+    delegation = delegation_of(reports[0], reports, max_connections=26)
+    chosen = []
+    for _ in range(4):
+        other = delegation.choose_connected(False, NOW)
+        delegation.record_start(other)
+        chosen.append(other.name)
+    assert chosen[0] == "m-4"
+    assert sorted(chosen) == ["m-1", "m-3", "m-4", "m-5"]
+
+
+def test_no_daemon_is_chosen_if_all_reach_no_server_or_are_leaving():
+    reports = isolated(fleet(3), 0, 1)
+    reports[2] = replace(reports[2], is_leaving=True)
+    delegation = delegation_of(reports[0], reports, max_connections=26)
+    assert delegation.choose_connected(False, NOW) is None
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -207,3 +207,21 @@
     assert membership.merge([again], 100.0)
     assert not membership.merge(reports[2:], 100.0)
     assert not membership.merge([reports[0]], 100.0)
+
+
+def test_loss_and_return_of_the_links_to_servers_are_urgent_news_that_are_passed_on():
+    now = 100.0
+    first, second = (
+        Membership(MemberReport(f"m-{n}", Address("10.0.0.1", n), 1, 1), (), now) for n in (1, 2)
+    )
+    second.merge([first.own], now)
+    assert first.take_news() == second.take_news() == []
+    for is_isolated in (True, False):
+        first.set_isolated(is_isolated)
+        news = first.take_news()
+        assert news == [first.own]
+        second.merge(news, now)
+        assert second.rows()[0].report.is_isolated == is_isolated
+        assert second.take_news() == [second.own, first.own]
+        second.merge(news, now)
+        assert second.take_news() == []
