Ask servers that have not failed whether the links work

It now prefers servers that have not failed since any was heard from. test_crash_of_every_server_of_a_query_is_no_isolation failed before.

--- a/marigoldwalk/routing/isolation.py
+++ b/marigoldwalk/routing/isolation.py
@@ -65,15 +65,16 @@
 def choose_servers(world: RoutingWorld) -> tuple[ServerRow, ...]:
     """Return the servers to which a check opens connections.
 
-    The first check asks those that were heard from last, since they are the least likely to be
-    down. Further checks ask different ones each time.
+    The first check asks those that have not failed and were heard from last, since they are the
+    least likely to be down. Further checks ask different ones each time.
     """
     rows = [row for row in world.catalog if not row.registration.draining]
     if world.reachability.is_isolated:
         key = str(world.now)
         rows.sort(key=lambda row: stable_hash(key, row.server_id))
     else:
-        rows.sort(key=lambda row: (-row.heard_at, row.server_id))
+        state = world.reachability
+        rows.sort(key=lambda row: (state.has_failed(row), -row.heard_at, row.server_id))
     first_of_domain = {row.registration.domain: row for row in reversed(rows)}
     chosen = [row for row in rows if first_of_domain[row.registration.domain] is row]
     others = [row for row in rows if row not in chosen]
--- a/marigoldwalk/routing/reachability.py
+++ b/marigoldwalk/routing/reachability.py
@@ -63,6 +63,10 @@
         """Number of servers that took no connection since the last one that did."""
         return len(self._unopened)
 
+    def has_failed(self, row: ServerRow) -> bool:
+        """Return whether the server has failed since any was heard from, or refuses connections."""
+        return row.server_id in self._silent or row.server_id in self._unopened
+
     def record_reply(self, row: ServerRow, now: float) -> None:
         """Record a reply on an open connection."""
         row.heard_at = now
--- a/tests/routing/test_isolation.py
+++ b/tests/routing/test_isolation.py
@@ -12,7 +12,15 @@
 )
 from marigoldwalk.routing.tables import ServerRow
 
-from .simulation import SILENT, Simulation, fan_out_route, registration, server_reply, single_route
+from .simulation import (
+    REFUSED,
+    SILENT,
+    Simulation,
+    fan_out_route,
+    registration,
+    server_reply,
+    single_route,
+)
 
 DETECTION_S = 1.0
 DOMAINS = ("north", "centre", "south")
@@ -22,6 +30,8 @@
     """A daemon whose links to servers of the domains in ``cut_domains`` are cut."""
 
     cut_domains = ()
+    down = frozenset()
+    """Servers that have crashed."""
 
     def cut(self, domains):
         self.cut_domains = domains
@@ -29,9 +39,13 @@
     def _answer(self, attempt):
         if attempt.row.registration.domain in self.cut_domains:
             return 0.0, SILENT
+        if attempt.row.server_id in self.down:
+            return 0.001, REFUSED
         return super()._answer(attempt)
 
     def _is_listening(self, server_id):
+        if server_id in self.down:
+            return False
         return self.world.catalog.rows[server_id].registration.domain not in self.cut_domains
 
     @property
@@ -129,3 +143,13 @@
     assert reachability.is_doubtful(80, 1.0)
     reachability.record_opened(row, 1.0)
     assert not reachability.is_doubtful(80, 2.0)
+
+
+def test_crash_of_every_server_of_a_query_is_no_isolation():
+    servers = shards(6) | {f"o-{n}": ("s-other", DOMAINS[n]) for n in range(3)}
+    simulation = CuttableSimulation([fan_out_route([f"s-{n}" for n in range(6)])], servers)
+    simulation.ask_for(1.0)
+    simulation.down = set(shards(6))
+    simulation.ask_for(2.0)
+    assert simulation.world.counters["link.check"] > 0
+    assert simulation.world.counters["link.isolated"] == 0
