--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -41,6 +41,8 @@
         """The services that serve a shard of any route."""
         self._top_priorities: dict[str, int] = {}
         """The most urgent priority among the routes of each service."""
+        self._groups: dict[str, str] = {}
+        """The fan-out route of each service that serves a shard."""
         self._routes: dict[int, RouteIndex] = {}
         self._by_service: dict[str, list[ServerRow]] = {}
         self._departed: dict[str, ServerRow] = {}
@@ -54,6 +56,7 @@
         self._routes[config.version] = RouteIndex(config.routes)
         if len(self._routes) > KEPT_VERSIONS:
             del self._routes[min(self._routes)]
+        self._groups = {s: r.name for r in config.routes if r.fan_out for s in r.services}
         fan_outs = [route.fan_out for route in config.routes if route.fan_out is not None]
         self.shards = frozenset(shard for fan_out in fan_outs for shard in fan_out.shards)
         self._top_priorities = _top_priorities(config.routes)
@@ -63,6 +66,10 @@
         """Return whether no route of *service* is more urgent than *route*."""
         return route.priority <= self._top_priorities.get(service, route.priority)
 
+    def group_of(self, service: str) -> str:
+        """Return a name that the shards of one query have in common; of others, the service."""
+        return self._groups.get(service, service)
+
     def knows_version(self, version: int) -> bool:
         """Return whether *version* is the one in force or one of those kept."""
         return version in self._routes
--- a/marigoldwalk/routing/isolation.py
+++ b/marigoldwalk/routing/isolation.py
@@ -32,7 +32,10 @@
 CHECK_INTERVAL_S = 0.3
 """Minimum time between the beginnings of two checks, longer than a connect timeout."""
 MIN_CHECKED = 4
-"""Number of servers that a check covers; there is at least one of each failure domain."""
+"""Minimum number of servers that a check covers."""
+MAX_CHECKED = 10
+"""Maximum number of servers that a check covers. Within it, there is one of each failure domain, of
+each query's shards and of each other service."""
 
 UNREACHABLE_ANSWER = ErrorAnswer(503, RefusalReason.SERVERS_UNREACHABLE, RETRY_AFTER_S)
 """The answer to a request that neither this daemon nor another one can run."""
@@ -75,10 +78,19 @@
     else:
         state = world.reachability
         rows.sort(key=lambda row: (state.has_failed(row), -row.heard_at, row.server_id))
-    first_of_domain = {row.registration.domain: row for row in reversed(rows)}
-    chosen = [row for row in rows if first_of_domain[row.registration.domain] is row]
+    chosen: list[ServerRow] = []
+    covered: set[tuple[str, str]] = set()
+    for row in rows:
+        registration = row.registration
+        # The shards of a query may be down together, because of what it contains.
+        group = ("group", world.catalog.group_of(registration.service))
+        domain = ("domain", registration.domain)
+        if group not in covered or domain not in covered:
+            covered |= {group, domain}
+            chosen.append(row)
     others = [row for row in rows if row not in chosen]
-    return (*chosen, *others[: max(0, MIN_CHECKED - len(chosen))])
+    chosen += others[: max(0, MIN_CHECKED - len(chosen))]
+    return tuple(chosen[:MAX_CHECKED])
 
 
 def apply_check(world: RoutingWorld, check: CheckLinks, unopened: Sequence[ServerRow]) -> None:
