Ask other daemons while the one that has a request is overdue

A daemon is now avoided from the time at which an answer is overdue; the request itself goes on waiting, since the daemon may only be slow. test_daemon_that_falls_silent_is_asked_no_more_while_it_is_overdue failed before.

--- a/marigoldwalk/gateway/delegate_client.py
+++ b/marigoldwalk/gateway/delegate_client.py
@@ -97,9 +97,7 @@
         delegate = self._delegation.choose(self._now())
         if delegate is None:
             return DelegateFailure.NOT_SENT
-        elapsed_s = self._now() - exchange.request.received_at
-        wait_s = max(exchange.route.target_s + REPLY_GRACE_S - elapsed_s, REPLY_GRACE_S)
-        return self._forward_to(delegate, exchange, head, sock, wait_s)
+        return self._forward_to(delegate, exchange, head, sock, self._overdue_after_s(exchange))
 
     def forward_isolated(
         self, exchange: Exchange, head: bytes, body: bytes, sock: socket.socket
@@ -118,6 +116,11 @@
         wait_s = max(exchange.give_up_at - now, 0.0)
         return self._forward_to(delegate, exchange, head, sock, wait_s, body)
 
+    def _overdue_after_s(self, exchange: Exchange) -> float:
+        """Return the time from now after which a delegate without an answer may be lost."""
+        elapsed_s = self._now() - exchange.request.received_at
+        return max(exchange.route.target_s + REPLY_GRACE_S - elapsed_s, REPLY_GRACE_S)
+
     def choose_connected(self, route: Route | None, now: float) -> MemberReport | None:
         """Return a daemon that reaches the servers and may execute a request of *route*."""
         is_query = route is not None and route.fan_out is not None
@@ -168,7 +171,12 @@
         data = head + encode_headers(headers) + b"\r\n" + body
         with DisconnectWatch(sock, lambda: result.set(DelegateFailure.CALLER_LEFT)):
             connection.request(data, result.set, lambda raw: raw)
-            outcome = result.wait(wait_s)
+            overdue_s = min(self._overdue_after_s(exchange), wait_s)
+            outcome = result.wait(overdue_s)
+            if outcome is None and overdue_s < wait_s:
+                # It may only be slow, but others are asked meanwhile.
+                self._delegation.record_overdue(delegate, self._now())
+                outcome = result.wait(wait_s - overdue_s)
         if not isinstance(outcome, RawReply):
             connection.close()
         self._pool.release(endpoint, connection)
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -136,6 +136,10 @@
         if failed:
             self._failed_at[delegate.name] = now
 
+    def record_overdue(self, delegate: MemberReport, now: float) -> None:
+        """Record that a query sent to *delegate* is overdue, so that it is avoided for now."""
+        self._failed_at[delegate.name] = now
+
     def _load(self, report: MemberReport) -> tuple[float, int, str]:
         open_count = self._open.get(report.name, 0)
         # Each daemon has its own order among ties, which spreads the daemons over the delegates.
--- a/tests/gateway/test_partitioned_daemon.py
+++ b/tests/gateway/test_partitioned_daemon.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from marigoldwalk.gateway import delegate_client
 from marigoldwalk.gateway.connection import CONNECT_TIMEOUT_S
 from marigoldwalk.routing.reachability import QUIET_S
 from standins.gateway_backends import StandinServer, route_record
@@ -146,6 +147,20 @@
         assert ask(fleet.entry, data)[0][0] in (502, 504)
 
 
+def test_daemon_that_falls_silent_is_asked_no_more_while_it_is_overdue(monkeypatch):
+    monkeypatch.setattr(delegate_client, "REPLY_GRACE_S", 0.05)
+    routes = [route_record(**{"target-latency-ms": 50}), *ROUTES[1:]]
+    with linked_fleet(routes, make_servers()) as fleet, scripted(...) as silent:
+        fleet.cut(SILENT)
+        wait_until_isolated(fleet.entry)
+        introduce(fleet.entry, fleet.other, heartbeat=2, address=silent.address)
+        waiting = gevent.spawn(ask, fleet.entry, request(request_id="q-waiting"))
+        gevent.sleep(0.3)
+        assert ask(fleet.entry, request(request_id="q-next"))[0][2] == b"servers_unreachable"
+        assert not waiting.ready()
+        assert waiting.get(timeout=TEST_TIMEOUT_S)[0][0] == 502
+
+
 @pytest.mark.parametrize("how", [RESET, REFUSED])
 def test_loss_of_the_own_links_is_no_evidence_against_content(how):
     servers = make_servers()
