--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -34,6 +34,7 @@
         super().__init__(target)
         self.address = Address(LOOPBACK, self.port)
         self._fillers = []
+        self._successor = None
 
     def cut(self, how):
         self._server.close()
@@ -43,6 +44,12 @@
         elif how == RESET:
             self.reset_connections()
 
+    def sever(self):
+        """Let the open connections fall silent for good, while new ones work."""
+        self._server.close()
+        self.set_state(LinkState.BLOCKED)
+        self._successor = Relay(self.target, self.address.port)
+
     def heal(self):
         self._close_fillers()
         self.set_state(LinkState.HEALTHY)
@@ -51,6 +58,8 @@
 
     def stop(self):
         self._close_fillers()
+        if self._successor is not None:
+            self._successor.stop()
         super().stop()
 
     def _fill_accept_queue(self):
