--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import socket
+
 import gevent
 import pytest
 from gevent.pool import Pool
@@ -7,6 +9,7 @@
 
 from marigoldwalk.config.view import Address
 from marigoldwalk.gateway.connection import (
+    KEEPALIVE_COUNT,
     MAX_REPLY_BYTES,
     READ_BYTES,
     ConnectionState,
@@ -214,3 +217,9 @@
         connection = ServerConnection(server.address, lambda _: None, memory)
         assert exchange(connection).body == b"mine"
     assert memory.used_bytes == 0
+
+
+def test_no_user_timeout_replaces_the_count_of_keep_alive_probes():
+    sock = open_connection(Address("127.0.0.1", 1))._sock
+    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 0
+    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT) == KEEPALIVE_COUNT
