Leave requests where they are while open connections still work

When only new connections are refused, a daemon stopped its open requests and handed them on, although their replies were about to arrive. A shard that it had hedged could then run on more servers than the route allows. They now stay where they are; new requests are handed on. test_requests_in_progress_stay_where_they_are_while_open_connections_work failed before. A stop closes the connections of a check, and the choice of a connected daemon computes its load once.

--- a/marigoldwalk/gateway/link_checker.py
+++ b/marigoldwalk/gateway/link_checker.py
@@ -49,13 +49,18 @@
 
     def stop(self) -> None:
         """Stop checking."""
+        pending, self._pending = self._pending, {}
+        for connection in pending:
+            connection.close()
         self._timer.stop()
         self._timer.close()
 
     def _on_outcome(
         self, check: CheckLinks, connection: ServerConnection, failure: LostAttempt | None
     ) -> None:
-        row = self._pending.pop(connection)
+        row = self._pending.pop(connection, None)
+        if row is None:
+            return
         connection.close()
         if failure is None:
             self._router.link_opened(row, self._now())
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -106,12 +106,7 @@
             reports = (row.report for row in self.membership.alive(now))
             connected = {r.name: r for r in reports if not r.is_leaving and not r.is_isolated}
             usable = self._usable(connected, now)
-        own_domain = self.membership.own.domain
-        return min(
-            usable,
-            key=lambda r: (self._load(r)[0], r.domain != own_domain, self._load(r)),
-            default=None,
-        )
+        return min(usable, key=self._load_and_distance, default=None)
 
     def _usable(self, delegates: dict[str, MemberReport], now: float) -> list[MemberReport]:
         return [report for report in delegates.values() if not self._is_in_backoff(report, now)]
@@ -140,6 +135,10 @@
         """Record that a query sent to *delegate* is overdue, so that it is avoided for now."""
         self._failed_at[delegate.name] = now
 
+    def _load_and_distance(self, report: MemberReport) -> tuple[float, bool, int, str]:
+        load, *order = self._load(report)
+        return load, report.domain != self.membership.own.domain, *order
+
     def _load(self, report: MemberReport) -> tuple[float, int, str]:
         open_count = self._open.get(report.name, 0)
         # Each daemon has its own order among ties, which spreads the daemons over the delegates.
--- a/marigoldwalk/routing/isolation.py
+++ b/marigoldwalk/routing/isolation.py
@@ -105,9 +105,12 @@
             _rejoin(world)
         return
     # Replies show that the links work, unless it is only new connections that fail.
-    is_heard = state.heard_at >= check.started_at and not check.is_for_connections
-    if not is_connected and not is_heard:
-        _isolate(world)
+    is_heard = state.heard_at >= check.started_at
+    if is_connected or (is_heard and not check.is_for_connections):
+        return
+    _isolate(world)
+    if not is_heard:
+        _stop_exchanges(world)
 
 
 def _isolate(world: RoutingWorld) -> None:
@@ -124,9 +127,16 @@
     logger.warning("no server is reachable", extra={"fields": fields})
     world.suspects.withdraw()
     world.actions.append(ReportIsolation(True))
+
+
+def _stop_exchanges(world: RoutingWorld) -> None:
+    """Stop the requests in progress that another daemon may run."""
     for exchange in list(world.exchanges):
-        if _may_run_elsewhere(exchange):
-            _stop(world, exchange)
+        if not _may_run_elsewhere(exchange):
+            continue
+        finish(world, exchange, UNREACHABLE_ANSWER)
+        for task in exchange.tasks:
+            world.actions.extend(Abandon(attempt) for attempt in task.open_attempts)
 
 
 def _may_run_elsewhere(exchange: Exchange) -> bool:
@@ -141,12 +151,6 @@
     )
 
 
-def _stop(world: RoutingWorld, exchange: Exchange) -> None:
-    finish(world, exchange, UNREACHABLE_ANSWER)
-    for task in exchange.tasks:
-        world.actions.extend(Abandon(attempt) for attempt in task.open_attempts)
-
-
 def _rejoin(world: RoutingWorld) -> None:
     """Resume sending; what was counted against the servers meanwhile says nothing about them."""
     state = world.reachability
--- a/tests/routing/test_isolation.py
+++ b/tests/routing/test_isolation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from marigoldwalk.routing.exchanges import CheckLinks, MergedAnswer
 from marigoldwalk.routing.isolation import UNREACHABLE_ANSWER
 from marigoldwalk.routing.reachability import (
     MIN_SILENT,
@@ -153,3 +154,16 @@
     simulation.ask_for(2.0)
     assert simulation.world.counters["link.check"] > 0
     assert simulation.world.counters["link.isolated"] == 0
+
+
+def test_requests_in_progress_stay_where_they_are_while_open_connections_work():
+    simulation = fan_out_simulation()
+    simulation.ask("/all/2", "q-open")
+    world = simulation.world
+    check = CheckLinks(tuple(world.catalog), simulation.now, is_for_connections=True)
+    world.reachability.heard_at = simulation.now
+    simulation._perform(simulation.router.links_checked(check, check.rows, simulation.now))
+    assert simulation.is_isolated
+    assert "q-open" not in simulation.answers
+    simulation.run(0.2)
+    assert isinstance(simulation.answers["q-open"], MergedAnswer)
