--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -106,7 +106,7 @@
     def handle_peer(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer a fan-out query that another daemon delegates to this one."""
+        """Answer a request that another daemon hands to this one; it is not handed on."""
         elapsed_ms = environ.get(ELAPSED_KEY, "")
         version = environ.get(VERSION_KEY, "")
         is_valid = _is_number(elapsed_ms) and version.isdecimal()
--- a/tests/gateway/test_partitioned_daemon.py
+++ b/tests/gateway/test_partitioned_daemon.py
@@ -9,10 +9,12 @@
 
 from marigoldwalk.gateway import delegate_client
 from marigoldwalk.gateway.connection import CONNECT_TIMEOUT_S
+from marigoldwalk.gateway.delegate_client import STOPPED_HEADER
 from marigoldwalk.routing.reachability import QUIET_S
 from standins.gateway_backends import StandinServer, route_record
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
+from .backend import response
 from .daemons import ask, request, wait_until
 from .links import REFUSED, RESET, SILENT, introduce, linked_fleet
 
@@ -147,6 +149,16 @@
         assert ask(fleet.entry, data)[0][0] in (502, 504)
 
 
+@pytest.mark.parametrize(("headers", "expected"), [((), 503), ((f"{STOPPED_HEADER}: 1",), 502)])
+def test_request_that_the_other_daemon_had_begun_is_not_denied(headers, expected):
+    refusal = response(status="421 Misdirected Request", headers=headers)
+    with linked_fleet(ROUTES, make_servers()) as fleet, scripted(refusal) as refusing:
+        fleet.cut(SILENT)
+        wait_until_isolated(fleet.entry)
+        introduce(fleet.entry, fleet.other, heartbeat=2, address=refusing.address)
+        assert ask(fleet.entry, request())[0][0] == expected
+
+
 def test_daemon_that_falls_silent_is_asked_no_more_while_it_is_overdue(monkeypatch):
     monkeypatch.setattr(delegate_client, "REPLY_GRACE_S", 0.05)
     routes = [route_record(**{"target-latency-ms": 50}), *ROUTES[1:]]
