Add workspaces, public routes and their limits to the routing model

Cause: a configuration may contain workspaces with keys and quotas, which the model does not hold. Change: data classes and settings for them; the priority of an exchange is that of its workspace, if it has one. Nothing decodes or uses workspaces yet.

--- a/marigoldwalk/errors.py
+++ b/marigoldwalk/errors.py
@@ -106,6 +106,9 @@
 
     NOT_READY = "not_ready"
     NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    KEYS_DOUBTFUL = "keys_doubtful"
+    OVER_QUOTA = "over_quota"
     NO_SERVER = "no_server"
     SERVERS_PAUSED = "servers_paused"
     SERVERS_LIMITED = "servers_limited"
--- a/marigoldwalk/gateway/settings.py
+++ b/marigoldwalk/gateway/settings.py
@@ -14,7 +14,7 @@
 from ..config.yaml_text import parse_yaml
 from ..errors import Code, MarigoldwalkError
 from ..routing.budgets import BudgetLimits
-from ..routing.world import RoutingLimits
+from ..routing.world import QuotaLimits, RoutingLimits
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -69,6 +69,11 @@
     caller_delay_ms: float = Field(default=3.0, ge=0)
     drain_ms: float = Field(default=3000.0, ge=0)
     """Time for which a server that has said that it is leaving may still receive requests."""
+    quota_window_s: float = Field(default=5.0, gt=0)
+    quota_overage: float = Field(default=0.25, ge=0)
+    quota_slack: float = Field(default=20.0, ge=0)
+    revoke_fail_closed: bool = False
+    revoke_ms: float = Field(default=5000.0, gt=0)
 
 
 def parse_gateway_settings(text: str) -> GatewaySettings | Rejected:
@@ -112,5 +117,8 @@
             cold_slack=model.cold_slack,
             caller_delay_s=model.caller_delay_ms / 1000,
             drain_s=model.drain_ms / 1000,
+            quotas=QuotaLimits(model.quota_window_s, model.quota_overage, model.quota_slack),
+            revoke_fail_closed=model.revoke_fail_closed,
+            revoke_s=model.revoke_ms / 1000,
         ),
     )
--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -238,7 +238,7 @@
     route = exchange.route
     limit = world.admission.limit(tuple(task.service for task in exchange.tasks))
     is_returning = world.admission.is_returning(exchange.request, route)
-    if limit.admits(route.priority, is_returning):
+    if limit.admits(exchange.priority, is_returning):
         limit.record_start()
         exchange.limit = limit
         exchange.holds_place = True
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from ..errors import RefusalReason
     from .admission import ConcurrencyLimit
-    from .model import Route
+    from .model import Route, Workspace
     from .placement import NoServer
     from .tables import ServerRow
 
@@ -80,6 +80,8 @@
     """When the caller stops waiting, on this daemon's clock."""
     fingerprint: str = ""
     """A digest of method, path and body, which identifies repeated requests."""
+    workspace: Workspace | None = None
+    """The workspace that holds the caller's key; ``None`` if the request needs none."""
 
 
 @dataclass(slots=True, eq=False)
@@ -194,6 +196,14 @@
     holds_place: bool = False
     """Whether the exchange counts as open under the limit."""
 
+    @property
+    def priority(self) -> int:
+        """The priority of the caller's workspace if it has one, else of the route."""
+        workspace = self.request.workspace
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return self.route.priority
+
     @property
     def may_have_run(self) -> bool:
         """Whether any server may have started to execute the request."""
--- a/marigoldwalk/routing/model.py
+++ b/marigoldwalk/routing/model.py
@@ -46,6 +46,8 @@
     """Priority in the queue; 0 is the most urgent."""
     splits: tuple[WeightedService, ...] = ()
     fan_out: FanOut | None = None
+    is_public: bool = False
+    """Whether requests need no key although the configuration has workspaces."""
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -68,6 +70,21 @@
     """Requests per second that a cold server can take from all daemons together; 0 for no limit."""
 
 
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer of the operators, whose callers identify themselves with keys."""
+
+    name: str
+    key_digests: frozenset[bytes] = field(default=frozenset(), repr=False)
+    """Digests of the keys; the keys themselves are not kept."""
+    priority: int | None = None
+    """Priority of its requests, which takes precedence over that of their routes."""
+    rate_per_s: float = 0.0
+    """Requests per second that all daemons together send to servers; 0 for no limit."""
+    burst: float = 0.0
+    """Requests that may be sent at once in addition to that."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Size limits for callers' requests and time-outs for receiving them."""
@@ -86,6 +103,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    workspaces: tuple[Workspace, ...] = ()
+    """The customers that share the deployment; empty if requests need no keys."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/marigoldwalk/routing/queueing.py
+++ b/marigoldwalk/routing/queueing.py
@@ -32,7 +32,7 @@
         if task in self._queued:
             return
         exchange = task.exchange
-        entry = (exchange.route.priority, exchange.target_at, next(self._numbers), task)
+        entry = (exchange.priority, exchange.target_at, next(self._numbers), task)
         heapq.heappush(self._heap, entry)
         self._queued.add(task)
 
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -24,6 +24,18 @@
     from .model import Route
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaLimits:
+    """Tolerance for the quotas of workspaces, summed over all daemons.
+
+    In any window, at most ``(rate * window_s + burst) * (1 + overage) + slack`` requests run.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.25
+    slack: float = 20.0
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingLimits:
     """Limits set by the operators of the backend servers."""
@@ -43,6 +55,11 @@
     """Requests tolerated in addition to that."""
     drain_s: float = 3.0
     """Time for which a server that has said that it is leaving may still receive requests."""
+    quotas: QuotaLimits = field(default_factory=QuotaLimits)
+    revoke_fail_closed: bool = False
+    """Whether requests with keys are refused while withdrawn keys might go unnoticed."""
+    revoke_s: float = 5.0
+    """Time without news of the store after which withdrawn keys might go unnoticed."""
 
 
 class RoutingWorld:
