Check a routing configuration before it is published

Cause: mistakes in a configuration show only once daemons follow it: routes that an equal one hides, shards named twice, timeouts below the target, keys of two workspaces. Change: marigoldwalk check reports errors, warnings and the changes against the version in force, from a file or from a daemon's /configuration, as text or JSON.

--- a/marigoldwalk/cli.py
+++ b/marigoldwalk/cli.py
@@ -71,16 +71,42 @@
 
 
 @app.command
-def check(file: Path) -> ExitStatus:
-    """Check a configuration document or a settings file; print each problem with its line.
+def check(
+    file: Path,
+    *,
+    against: Path | None = None,
+    admin: str = "",
+    strict: bool = False,
+    as_json: JsonFlag = False,
+) -> ExitStatus:
+    """Check a configuration or a settings file; print each problem.
+
+    Problems of documents and settings are printed with their lines, and the exit status is 1. Of a
+    routing configuration, errors, warnings and the changes that callers notice are printed with
+    their entries. The exit status is then 2 after errors and, with --strict, 1 after warnings.
 
     Parameters
     ----------
     file
         The file to check. A file with servers, groups or a revision is checked as a configuration
-        document, a file with the address of a store as gateway settings.
+        document, one with the address of a store as gateway settings, one with routes as a routing
+        configuration.
+    against
+        The routing configuration in force, to compare the file with.
+    admin
+        The administration address of a gateway daemon, as ip:port. The file is compared with the
+        configuration and the servers that this daemon knows.
+    strict
+        Whether warnings make the check fail.
+    as_json
+        Print the findings for a routing configuration as JSON.
     """
     text = read_text(file, Code.DOCUMENT_INVALID)
+    if _is_routing_config(text):
+        from .config_report import check_routing_config
+
+        in_force = _read_admin(admin, "/configuration") if admin else None
+        return ExitStatus(check_routing_config(file, against, in_force, strict, as_json))
     verdict = _check_text(text)
     if not isinstance(verdict, Rejected):
         print(f"{file}: valid")
@@ -218,6 +244,15 @@
     return parse_settings(text)
 
 
+def _is_routing_config(text: str) -> bool:
+    """Return whether *text* is a JSON object with routes."""
+    try:
+        value = json.loads(text)
+    except ValueError:
+        return False
+    return isinstance(value, dict) and "routes" in value
+
+
 def _json_object(text: str) -> dict[str, Any]:
     try:
         value = json.loads(text)
--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -11,6 +11,7 @@
 from ..daemon.error_responses import error_response, unhandled_error_response
 from ..errors import Code
 from ..metrics.export import PREFIX, counter_families, make_registry, render
+from .config_dump import dump_config
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,6 +38,7 @@
         self.app = bottle.Bottle()
         self.app.route("/status", "GET", self._status)
         self.app.route("/explain/<route>", "GET", self._explain)
+        self.app.route("/configuration", "GET", self._configuration)
         self.app.route("/metrics", "GET", self._metrics)
         self.app.default_error_handler = unhandled_error_response
         self._world = world
@@ -86,6 +88,15 @@
             }
         )
 
+    def _configuration(self) -> dict[str, Any]:
+        catalog = self._world.catalog
+        config = catalog.config
+        services = config.services if config is not None else ()
+        return {
+            "configuration": dump_config(config) if config is not None else None,
+            "servers": {name: len(catalog.registered_servers(name)) for name in services},
+        }
+
     def _describe_server(self, row: ServerRow) -> dict[str, Any]:
         now = self._world.now
         registration = row.registration
--- a/marigoldwalk/platform/records.py
+++ b/marigoldwalk/platform/records.py
@@ -4,11 +4,13 @@
 
 import json
 import logging
+from dataclasses import dataclass
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..config.addresses import parse_server_address
+from ..config.problems import format_path
 from ..gateway.store_interface import (
     ConfigUpdate,
     DomainUpdate,
@@ -125,15 +127,37 @@
     return None
 
 
-def _decode_config(value: bytes | None) -> ConfigUpdate | None:
-    if value is None:
-        return None
+@dataclass(frozen=True, slots=True)
+class ConfigProblems:
+    """A falsy result: the fields of a configuration that cannot be read, and why."""
+
+    problems: tuple[tuple[str, str], ...]
+
+    def __bool__(self) -> bool:
+        return False
+
+
+def decode_config(value: bytes) -> RoutingConfig | ConfigProblems:
+    """Return the configuration in *value*, or the problems with its form."""
     try:
         record = _ConfigRecord.model_validate(json.loads(value))
+    except ValidationError as exc:
+        problems = ((format_path(error["loc"]), error["msg"]) for error in exc.errors())
+        return ConfigProblems(tuple(problems))
     except ValueError as exc:
-        logger.error("invalid configuration record", extra={"fields": {"why": str(exc)[:500]}})
+        return ConfigProblems((("document", f"it is not JSON: {exc}"),))
+    return _to_config(record)
+
+
+def _decode_config(value: bytes | None) -> ConfigUpdate | None:
+    if value is None:
+        return None
+    config = decode_config(value)
+    if isinstance(config, ConfigProblems):
+        why = "; ".join(f"{entry}: {reason}" for entry, reason in config.problems)
+        logger.error("invalid configuration record", extra={"fields": {"why": why[:500]}})
         return None
-    return ConfigUpdate(_to_config(record))
+    return ConfigUpdate(config)
 
 
 def _decode_server(server_id: str, value: bytes | None) -> ServerUpdate | ServerRemoved:
--- a/tests/gateway/test_admin.py
+++ b/tests/gateway/test_admin.py
@@ -2,7 +2,9 @@
 
 import json
 
+from marigoldwalk.gateway.config_dump import dump_config, load_config
 from marigoldwalk.gateway.settings import GatewaySettings, parse_gateway_settings
+from marigoldwalk.routing.model import RoutingConfig, Workspace
 from marigoldwalk.util.gevent_http import GeventConnection
 from standins.gateway_backends import route_record
 
@@ -48,3 +50,20 @@
     settings = parse_gateway_settings(text)
     assert isinstance(settings, GatewaySettings)
     assert settings.cores == 1.0
+
+
+def test_the_configuration_in_force_is_read_back_without_a_loss(monkeypatch):
+    monkeypatch.setattr(daemons, "SETTINGS", daemons.SETTINGS + "admin_address: 127.0.0.1:0\n")
+    with deployment([route_record(name="r-one")]) as (daemon, _):
+        record = json.loads(get(daemon, "/configuration").body)
+        config = daemon.gateway.world.catalog.config
+    assert load_config(record["configuration"]) == config
+    assert record["servers"] == dict.fromkeys(config.services, 1)
+
+
+def test_a_dumped_configuration_contains_digests_of_keys():
+    workspaces = (Workspace("w-1", frozenset({b"\x00\xff"}), 1, 5.0, 5.0),)
+    config = RoutingConfig(3, (), {}, workspaces=workspaces)
+    record = json.loads(json.dumps(dump_config(config)))
+    assert record["workspaces"][0]["key_digests"] == ["00ff"]
+    assert load_config(record) == config
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 
 import pytest
 import yaml
@@ -102,3 +103,44 @@
     path.write_text(SETTINGS.format(store="nowhere"))
     assert run("check", path) == 1
     assert "store_address" in capsys.readouterr().out
+
+
+ROUTING_CONFIGS = Path(__file__).parent / "golden"
+
+
+def routing_config_file(tmp_path, name, **changes):
+    config = json.loads((ROUTING_CONFIGS / "routing_config.json").read_text())
+    path = tmp_path / f"{name}.json"
+    path.write_text(json.dumps(config | changes))
+    return path
+
+
+def test_check_accepts_a_routing_configuration(tmp_path, capsys):
+    path = routing_config_file(tmp_path, "new")
+    assert run("check", path, "--strict") == 0
+    assert capsys.readouterr().out == f"{path}: valid\n"
+
+
+@pytest.mark.parametrize(("option", "golden"), [(None, "check.txt"), ("--json", "check.json")])
+def test_check_of_a_routing_configuration_prints_each_finding(tmp_path, capsys, option, golden):
+    routes = json.loads((ROUTING_CONFIGS / "mistaken_routes.json").read_text())
+    old = routing_config_file(tmp_path, "old")
+    new = routing_config_file(tmp_path, "new", version=8, routes=routes)
+    assert run("check", new, "--against", old, *([option] if option else [])) == 2
+    output = capsys.readouterr().out.replace(str(tmp_path), "configs")
+    assert output == (ROUTING_CONFIGS / golden).read_text()
+
+
+def test_a_strict_check_fails_after_warnings(tmp_path, capsys):
+    service = {"name": "spare", "max-connections": 25, "cold-start-s": 3.0, "cold-per-s": 0.0}
+    config = json.loads((ROUTING_CONFIGS / "routing_config.json").read_text())
+    path = routing_config_file(tmp_path, "new", services=[*config["services"], service])
+    assert run("check", path) == 0
+    assert run("check", path, "--strict") == 1
+    assert capsys.readouterr().out.count("warning: service spare: no route names it") == 2
+
+
+def test_check_names_the_fields_that_cannot_be_read(tmp_path, capsys):
+    path = routing_config_file(tmp_path, "new", version="seven")
+    assert run("check", path) == 2
+    assert capsys.readouterr().out.startswith(f"{path}: error: version: ")
