Identify workspaces by key and keep the keys from servers

Cause: nothing decodes workspaces, so callers' keys pass through to backend servers and requests with any key run. Change: the configuration's workspaces are decoded to names and digests of keys; the router identifies a request's workspace under the version that it is served by, and refuses missing and unknown keys. Servers get the workspace's name. Another daemon gets the name as well, never the key.

--- a/marigoldwalk/errors.py
+++ b/marigoldwalk/errors.py
@@ -106,6 +106,7 @@
 
     NOT_READY = "not_ready"
     NO_ROUTE = "no_route"
+    MISSING_KEY = "missing_key"
     UNKNOWN_KEY = "unknown_key"
     KEYS_DOUBTFUL = "keys_doubtful"
     OVER_QUOTA = "over_quota"
--- a/marigoldwalk/gateway/delegate_client.py
+++ b/marigoldwalk/gateway/delegate_client.py
@@ -40,6 +40,13 @@
 """WSGI environment key of ``VERSION_HEADER``."""
 ELAPSED_KEY = f"HTTP_{ELAPSED_HEADER.upper().replace('-', '_')}"
 """WSGI environment key of ``ELAPSED_HEADER``."""
+WORKSPACE_HEADER = "X-Gateway-Workspace"
+"""Name of the workspace that the forwarding daemon has identified; the caller's key is not sent."""
+WORKSPACE_KEY = f"HTTP_{WORKSPACE_HEADER.upper().replace('-', '_')}"
+"""WSGI environment key of ``WORKSPACE_HEADER``."""
+REQUEST_HEADERS = frozenset(h.lower() for h in (ELAPSED_HEADER, VERSION_HEADER, WORKSPACE_HEADER))
+"""The headers, in lower case, with which a daemon forwards a request. They go no further, and none
+is taken from a caller."""
 REFUSED_STATUS = 421
 """Status with which a delegate refuses a query, since it does not know the query's configuration
 version or cannot route the query."""
@@ -168,6 +175,8 @@
             (ELAPSED_HEADER, f"{elapsed_ms:.1f}"),
             (VERSION_HEADER, str(exchange.config_version)),
         ]
+        if request.workspace is not None:
+            headers.append((WORKSPACE_HEADER, request.workspace.name))
         data = head + encode_headers(headers) + b"\r\n" + body
         with DisconnectWatch(sock, lambda: result.set(DelegateFailure.CALLER_LEFT)):
             connection.request(data, result.set, lambda raw: raw)
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -15,12 +15,12 @@
 from ..routing.isolation import UNREACHABLE_ANSWER
 from ..util.disconnects import DisconnectWatch
 from .delegate_client import (
-    ELAPSED_HEADER,
     ELAPSED_KEY,
     REFUSED_STATUS,
+    REQUEST_HEADERS,
     STOPPED_HEADER,
-    VERSION_HEADER,
     VERSION_KEY,
+    WORKSPACE_KEY,
     DelegateFailure,
 )
 from .executor import encode_request_head
@@ -119,7 +119,8 @@
         parsed = self._parse_request(environ, self._now() - float(elapsed_ms) / 1000)
         if isinstance(parsed, ErrorAnswer):
             return self._respond(environ, start_response, parsed)
-        exchange = self._router.open(parsed.request, int(version))
+        workspace_name = environ.get(WORKSPACE_KEY, "")
+        exchange = self._router.open_forwarded(parsed.request, int(version), workspace_name)
         if isinstance(exchange, ErrorAnswer):
             if exchange.reason is not RefusalReason.SUSPECT_CONTENT:
                 return self._respond(environ, start_response, _DELEGATION_REFUSED)
@@ -199,16 +200,28 @@
     def _encode_forwarded(self, environ: dict[str, Any], exchange: Exchange, body: bytes) -> bytes:
         """Return the request line and headers for a request to another daemon."""
         headers = environ[HANDLER_KEY].headers.items()
-        sent = [*self._codec.forwarded_headers(headers), *self._codec.deadline_headers(headers)]
+        sent = self._forwarded_headers(environ, exchange) + self._codec.deadline_headers(headers)
         return encode_request_head(exchange.request.method, exchange.request.path, sent, body)
 
     def _encode_head(self, exchange: Exchange, environ: dict[str, Any], body: bytes) -> bytes:
-        forwarded = [
+        """Return the request line and headers for requests to servers."""
+        sent = self._forwarded_headers(environ, exchange)
+        workspace = exchange.request.workspace
+        if workspace is not None:
+            sent += self._codec.workspace_headers(workspace.name)
+        return encode_request_head(exchange.request.method, exchange.request.path, sent, body)
+
+    def _forwarded_headers(
+        self, environ: dict[str, Any], exchange: Exchange
+    ) -> list[tuple[str, str]]:
+        """Return the caller's headers that go to servers and to other daemons."""
+        has_workspaces = self._router.world.catalog.has_workspaces(exchange.config_version)
+        headers = environ[HANDLER_KEY].headers.items()
+        return [
             (name, value)
-            for name, value in self._codec.forwarded_headers(environ[HANDLER_KEY].headers.items())
-            if name not in (ELAPSED_HEADER, VERSION_HEADER)
+            for name, value in self._codec.forwarded_headers(headers, has_workspaces)
+            if name.lower() not in REQUEST_HEADERS
         ]
-        return encode_request_head(exchange.request.method, exchange.request.path, forwarded, body)
 
     @staticmethod
     def _drop_connection(environ: dict[str, Any]) -> list[bytes]:
@@ -243,6 +256,7 @@
             received_at=received_at,
             deadline_at=received_at + deadline_s,
             fingerprint=_fingerprint(environ["REQUEST_METHOD"], environ[HANDLER_KEY].path, body),
+            key_digests=metadata.key_digests,
         )
         return _ParsedRequest(request, body)
 
--- a/marigoldwalk/gateway/header_codec.py
+++ b/marigoldwalk/gateway/header_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -18,6 +18,8 @@
     request_id: str
     deadline_s: float | None
     """How long the caller waits, in seconds; ``None`` if it does not specify a deadline."""
+    key_digests: tuple[bytes, ...] = field(default=(), repr=False)
+    """Digests of the keys with which the caller identifies itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,8 +37,16 @@
     def read_request(self, headers: Sequence[tuple[str, str]]) -> RequestMetadata:
         """Return the metadata in a caller's *headers*; raises ``ValueError`` if invalid."""
 
-    def forwarded_headers(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
-        """Return the caller's headers that are forwarded to backend servers."""
+    def forwarded_headers(
+        self, headers: Sequence[tuple[str, str]], has_workspaces: bool
+    ) -> list[tuple[str, str]]:
+        """Return the caller's headers that are forwarded to backend servers.
+
+        If the configuration *has_workspaces*, keys and a workspace that the caller names are not.
+        """
+
+    def workspace_headers(self, name: str) -> list[tuple[str, str]]:
+        """Return the headers that tell a backend server the workspace of a request."""
 
     def deadline_headers(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the headers that specify the caller's deadline."""
--- a/marigoldwalk/gateway/reporter.py
+++ b/marigoldwalk/gateway/reporter.py
@@ -35,6 +35,7 @@
             "status": answer.status,
             "reason": answer.reason.value,
             "path": request.path,
+            "workspace": request.workspace.name if request.workspace else None,
         }
         logger.info("request refused", extra={"fields": fields, "important": True})
 
@@ -85,6 +86,7 @@
         return {
             "request": exchange.request.request_id,
             "route": exchange.route.name,
+            "workspace": exchange.request.workspace.name if exchange.request.workspace else None,
             "version": exchange.config_version,
             "elapsed_ms": elapsed_ms,
             "target_ms": round(exchange.route.target_s * 1000),
--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -139,6 +139,8 @@
             fields = {"reader": str(address), "why": str(exc)}
             logger.info("store mirror is not responding", extra={"fields": fields})
             self._pause_if_all_readers_failed()
+        else:
+            self._record_confirmed(self._now() - MAX_MIRROR_AGE_S)
 
     def _pause_if_all_readers_failed(self) -> None:
         now = self._now()
@@ -354,10 +356,14 @@
 
     def _record_response(self) -> None:
         self.confirmed_at = self._now()
+        self._record_confirmed(self.confirmed_at)
         if self._is_unavailable:
             self._is_unavailable = False
             logger.info("store is responding again", extra={"fields": self._state()})
 
+    def _record_confirmed(self, confirmed_at: float) -> None:
+        self._catalog.confirmed_at = max(self._catalog.confirmed_at, confirmed_at)
+
     def _state(self) -> dict[str, object]:
         config = self._catalog.config
         return {
--- a/marigoldwalk/platform/headers.py
+++ b/marigoldwalk/platform/headers.py
@@ -7,6 +7,7 @@
 
 from ..gateway.header_codec import RequestMetadata
 from ..routing.exchanges import ServerReply
+from .keys import digest_of
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -19,6 +20,8 @@
 SIGNATURE = "x-marigoldwalk-response-stamp"
 EXPECT_SERVER = "x-marigoldwalk-expect-instance"
 NOT_RUN = "x-marigoldwalk-not-executed"
+API_KEY = "x-api-key"
+TENANT_ID = "x-marigoldwalk-tenant-id"
 LEAVING = "server-leaving"
 RATE_LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
@@ -44,6 +47,7 @@
     )
 )
 _SET_BY_GATEWAY = frozenset(("content-length", "expect", DEADLINE_MS, EXPECT_SERVER))
+_OF_TENANTS = frozenset((API_KEY, TENANT_ID))
 
 
 class PlatformHeaderCodec:
@@ -53,18 +57,27 @@
         """Return the metadata in a caller's *headers*; raises ``ValueError`` if invalid."""
         request_id = ""
         deadline_s: float | None = None
+        key_digests: tuple[bytes, ...] = ()
         for name, value in headers:
             lower = name.lower()
             if lower == REQUEST_ID:
                 request_id = value
             elif lower == DEADLINE_MS:
                 deadline_s = int(value) / 1000
+            elif lower == API_KEY:
+                key_digests += (digest_of(value.strip().encode("latin-1", "replace")),)
         if deadline_s is not None and deadline_s < 0:
             raise ValueError("the deadline is negative")
-        return RequestMetadata(request_id, deadline_s)
+        return RequestMetadata(request_id, deadline_s, key_digests)
 
-    def forwarded_headers(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
-        """Return the caller's headers that are forwarded to backend servers."""
+    def forwarded_headers(
+        self, headers: Sequence[tuple[str, str]], has_workspaces: bool
+    ) -> list[tuple[str, str]]:
+        """Return the caller's headers that are forwarded to backend servers.
+
+        Keys and tenants have no meaning without workspaces and are then forwarded as any header.
+        """
+        dropped = _OF_TENANTS if has_workspaces else frozenset()
         connection_options = _connection_options(headers)
         return [
             (name, value)
@@ -72,8 +85,13 @@
             if (lower := name.lower()) not in _HOP_BY_HOP
             and lower not in _SET_BY_GATEWAY
             and lower not in connection_options
+            and lower not in dropped
         ]
 
+    def workspace_headers(self, name: str) -> list[tuple[str, str]]:
+        """Return the headers that tell a backend server the workspace of a request."""
+        return [(TENANT_ID, name)]
+
     def deadline_headers(self, headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the headers that specify the caller's deadline."""
         return [(name, value) for name, value in headers if name.lower() == DEADLINE_MS]
--- a/marigoldwalk/platform/records.py
+++ b/marigoldwalk/platform/records.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -24,7 +24,9 @@
     RoutingConfig,
     Service,
     WeightedService,
+    Workspace,
 )
+from .keys import digest_of
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +70,7 @@
     fanout_services: tuple[str, ...] = ()
     top_k: int = 0
     min_coverage: float = 0.0
+    public: bool = False
 
 
 class _ServiceRecord(_Record):
@@ -84,11 +87,22 @@
     idle_timeout_ms: float = CallerLimits().idle_timeout_s * 1000
 
 
+class _TenantRecord(_Record):
+    # The name is sent in a header.
+    name: str = Field(pattern=r"^[!-~]([ -~]*[!-~])?$")
+    api_keys: tuple[Annotated[str, Field(min_length=1)], ...] = ()
+    priority: int | None = None
+    rate_per_s: float | None = Field(default=None, ge=0, allow_inf_nan=False)
+    burst: float | None = Field(default=None, ge=0, allow_inf_nan=False)
+
+
 class _ConfigRecord(_Record):
     version: int
     routes: tuple[_RouteRecord, ...]
     services: tuple[_ServiceRecord, ...]
     limits: _LimitsRecord = _LimitsRecord()
+    # Each entry is validated by itself, so that an invalid one does not cost the whole record.
+    tenants: Any = None
 
 
 _NonNegativeInt = Annotated[int, Field(strict=True, ge=0)]
@@ -130,6 +144,11 @@
         return None
     try:
         record = _ConfigRecord.model_validate(json.loads(value))
+    except ValidationError as exc:
+        # The input is left out, since it contains keys.
+        why = str(exc.errors(include_url=False, include_context=False, include_input=False))
+        logger.error("invalid configuration record", extra={"fields": {"why": why[:500]}})
+        return None
     except ValueError as exc:
         logger.error("invalid configuration record", extra={"fields": {"why": str(exc)[:500]}})
         return None
@@ -167,7 +186,34 @@
         idle_timeout_s=record.limits.idle_timeout_ms / 1000,
     )
     routes = tuple(_to_route(route) for route in record.routes)
-    return RoutingConfig(record.version, routes, services, limits)
+    workspaces = _to_workspaces(record.tenants)
+    return RoutingConfig(record.version, routes, services, limits, workspaces)
+
+
+def _to_workspaces(tenants: Any) -> tuple[Workspace, ...]:
+    """Return the workspaces in a record.
+
+    An invalid entry becomes a workspace without keys: its callers are refused, and a configuration
+    of which no entry is valid still requires keys.
+    """
+    if tenants is None:
+        return ()
+    entries = tenants if isinstance(tenants, list) else [tenants]
+    return tuple(_to_workspace(entry, number) for number, entry in enumerate(entries))
+
+
+def _to_workspace(entry: Any, number: int) -> Workspace:
+    try:
+        record = _TenantRecord.model_validate(entry)
+    except ValidationError as exc:
+        problems = [".".join(map(str, error["loc"])) for error in exc.errors()]
+        fields = {"entry": number, "invalid": problems}
+        logger.error("invalid workspace in the configuration", extra={"fields": fields})
+        return Workspace(f"invalid-{number}")
+    digests = frozenset(digest_of(key.encode()) for key in record.api_keys)
+    return Workspace(
+        record.name, digests, record.priority, record.rate_per_s or 0.0, record.burst or 0.0
+    )
 
 
 def _to_service(record: _ServiceRecord) -> Service:
@@ -193,4 +239,5 @@
         priority=record.priority,
         splits=splits,
         fan_out=fan_out,
+        is_public=record.public,
     )
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -6,6 +6,7 @@
 
 from .matching import RouteIndex
 from .tables import ServerRow
+from .workspaces import WorkspaceIndex
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Iterator
@@ -39,11 +40,14 @@
         self.excluded_domains: frozenset[str] = frozenset()
         self.shards: frozenset[str] = frozenset()
         """The services that serve a shard of any route."""
+        self.confirmed_at = float("-inf")
+        """The latest time for which it is known that the store held nothing newer."""
         self._top_priorities: dict[str, int] = {}
         """The most urgent priority among the routes of each service."""
         self._groups: dict[str, str] = {}
         """The fan-out route of each service that serves a shard."""
         self._routes: dict[int, RouteIndex] = {}
+        self._workspaces: dict[int, WorkspaceIndex] = {}
         self._by_service: dict[str, list[ServerRow]] = {}
         self._departed: dict[str, ServerRow] = {}
         """The last entries of removed servers by id, in the order of their removal."""
@@ -54,8 +58,10 @@
             return False
         self.config = config
         self._routes[config.version] = RouteIndex(config.routes)
+        self._workspaces[config.version] = WorkspaceIndex(config.workspaces)
         if len(self._routes) > KEPT_VERSIONS:
-            del self._routes[min(self._routes)]
+            oldest = min(self._routes)
+            del self._routes[oldest], self._workspaces[oldest]
         self._groups = {s: r.name for r in config.routes if r.fan_out for s in r.services}
         fan_outs = [route.fan_out for route in config.routes if route.fan_out is not None]
         self.shards = frozenset(shard for fan_out in fan_outs for shard in fan_out.shards)
@@ -81,6 +87,15 @@
         index = self._routes.get(version)
         return index.find(host, path) if index is not None else None
 
+    def workspaces(self, version: int) -> WorkspaceIndex | None:
+        """Return the workspaces of *version*, or ``None`` if that version is not kept."""
+        return self._workspaces.get(version)
+
+    def has_workspaces(self, version: int) -> bool:
+        """Return whether requests under *version* may carry keys; true if it is not kept."""
+        index = self._workspaces.get(version)
+        return index is None or not index.is_empty
+
     def service(self, name: str) -> Service | None:
         """Return the settings of a service in the configuration in force."""
         return self.config.services.get(name) if self.config else None
--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -80,6 +80,8 @@
     """When the caller stops waiting, on this daemon's clock."""
     fingerprint: str = ""
     """A digest of method, path and body, which identifies repeated requests."""
+    key_digests: tuple[bytes, ...] = field(default=(), repr=False)
+    """Digests of the keys with which the caller identifies itself."""
     workspace: Workspace | None = None
     """The workspace that holds the caller's key; ``None`` if the request needs none."""
 
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ..errors import RefusalReason
@@ -30,7 +31,7 @@
         LostAttempt,
         ServerReply,
     )
-    from .model import Route
+    from .model import Route, Workspace
     from .tables import ServerRow
     from .world import RoutingWorld
 
@@ -57,21 +58,48 @@
     def __init__(self, world: RoutingWorld) -> None:
         self.world = world
 
-    def open(self, request: CallerRequest, version: int | None = None) -> Exchange | ErrorAnswer:
-        """Return an exchange for *request*, or an error answer if it is refused at once.
+    def open(self, request: CallerRequest) -> Exchange | ErrorAnswer:
+        """Return an exchange for a caller's *request*, or why it is refused at once."""
+        config = self.world.catalog.config
+        if config is None:
+            return ErrorAnswer(503, RefusalReason.NOT_READY, 1.0)
+        return self._open(request, config.version, None)
+
+    def open_forwarded(
+        self, request: CallerRequest, version: int, workspace_name: str
+    ) -> Exchange | ErrorAnswer:
+        """Return an exchange for a request that another daemon has accepted.
 
-        *version* is the configuration version under which another daemon accepted the request; it
-        defaults to the version in force.
+        It was accepted under *version*, for the workspace of that name; an empty name is none.
         """
-        catalog = self.world.catalog
-        if catalog.config is None:
-            return ErrorAnswer(503, RefusalReason.NOT_READY, 1.0)
-        route = catalog.find_route(request.host, request.path, version)
+        return self._open(request, version, workspace_name)
+
+    def _open(
+        self, request: CallerRequest, version: int, workspace_name: str | None
+    ) -> Exchange | ErrorAnswer:
+        route = self.world.catalog.find_route(request.host, request.path, version)
         if route is None:
             return ErrorAnswer(404, RefusalReason.NO_ROUTE)
+        workspace = self._identify(request, route, version, workspace_name)
+        if isinstance(workspace, ErrorAnswer):
+            return workspace
+        if workspace is not None:
+            request = replace(request, workspace=workspace)
         if self.world.suspects.is_refused(request.fingerprint, request.received_at):
             return ErrorAnswer(503, RefusalReason.SUSPECT_CONTENT, EVIDENCE_TTL_S)
-        return self._exchange(request, route, version or catalog.config.version)
+        return self._exchange(request, route, version)
+
+    def _identify(
+        self, request: CallerRequest, route: Route, version: int, workspace_name: str | None
+    ) -> Workspace | ErrorAnswer | None:
+        """Return the workspace of *request*, ``None`` if it needs none, or why it is refused."""
+        index = self.world.catalog.workspaces(version)
+        if workspace_name is not None:
+            return index.find(route, workspace_name)
+        limits = self.world.limits
+        news_age_s = request.received_at - self.world.catalog.confirmed_at
+        is_doubtful = limits.revoke_fail_closed and news_age_s >= limits.revoke_s
+        return index.identify(route, request.key_digests, is_doubtful)
 
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Send the tasks of a new exchange, or refuse it."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -40,7 +40,7 @@
         ("X-Marigoldwalk-Expect-Instance", "forged"),
         ("X-Other", "kept"),
     ]
-    kept = [name for name, _ in CODEC.forwarded_headers(headers)]
+    kept = [name for name, _ in CODEC.forwarded_headers(headers, has_workspaces=False)]
     assert kept == ["Host", "X-Marigoldwalk-Request-Id", "X-Other"]
 
 
