Select readers among the daemons that the store answers

Cause: a store that turns some daemons away may turn away all readers. Nobody then reads for the others until they call the store themselves, and those that it turns away too learn nothing. A daemon that restarts meanwhile asked only the store. Change: a daemon that the store does not answer reports that as urgent news and is no reader for 10 s. The first read goes to a reader after a failure. The catalog knows how old its news are.

--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -178,6 +178,7 @@
             r.cores,
             r.is_leaving,
             r.is_isolated,
+            r.is_turned_away,
         )
         for r in reports
     ]
@@ -204,6 +205,7 @@
                 m.cores,
                 m.leaving,
                 m.isolated,
+                m.turned_away,
             )
             for m in gossip.members
             if _is_complete(m)
--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -119,9 +119,11 @@
     def poll(self) -> None:
         """Read a full snapshot, or watch once if there is one; raises ``StoreError``.
 
-        The first read goes to the store, since a daemon that starts knows no others yet.
+        The first read goes to the store, since a daemon that starts knows no others yet. If the
+        store does not answer it, the others may have been found meanwhile.
         """
-        address = self._readers.choose(self._now()) if self._has_snapshot else None
+        may_follow = self._has_snapshot or self._is_unavailable
+        address = self._readers.choose(self._now()) if may_follow else None
         is_new_source = address != self._source
         self._source = address
         if address is None:
@@ -154,6 +156,9 @@
         Load pattern: several readers lose power at the same moment. A daemon that waited for each
         of them in turn would follow a change too late.
         """
+        if not self._has_snapshot:
+            self._read(mirror)
+            return
         try:
             self._watch(mirror, wait_s)
         except EraChangedError:
@@ -357,6 +362,7 @@
     def _record_response(self) -> None:
         self.confirmed_at = self._now()
         self._record_confirmed(self.confirmed_at)
+        self._readers.record_store_answer()
         if self._is_unavailable:
             self._is_unavailable = False
             logger.info("store is responding again", extra={"fields": self._state()})
--- a/marigoldwalk/routing/membership.py
+++ b/marigoldwalk/routing/membership.py
@@ -78,6 +78,8 @@
     is_leaving: bool = False
     is_isolated: bool = False
     """Whether it reaches no backend server."""
+    is_turned_away: bool = False
+    """Whether the store has not answered it of late."""
 
 
 @dataclass(slots=True)
@@ -212,8 +214,15 @@
 
     def set_isolated(self, is_isolated: bool) -> None:
         """Report from now on whether this daemon reaches no backend server."""
-        heartbeat = self.own.heartbeat + 1
-        self.own = replace(self.own, is_isolated=is_isolated, heartbeat=heartbeat)
+        self._announce(is_isolated=is_isolated)
+
+    def set_turned_away(self, is_turned_away: bool) -> None:
+        """Report from now on whether the store does not answer this daemon."""
+        if is_turned_away != self.own.is_turned_away:
+            self._announce(is_turned_away=is_turned_away)
+
+    def _announce(self, **changes: bool) -> None:
+        self.own = replace(self.own, heartbeat=self.own.heartbeat + 1, **changes)
         self._news[self.own.name] = self.own
 
     def take_news(self) -> list[MemberReport]:
@@ -257,7 +266,7 @@
             suspect_after_s = SUSPECT_AFTER_S if is_local else REMOTE_SUSPECT_AFTER_S
             self._rows[report.name] = MemberRow(report, now, suspect_after_s)
         elif _version_of(report) > _version_of(row.report):
-            if report.is_isolated != row.report.is_isolated:
+            if _urgent_state(report) != _urgent_state(row.report):
                 self._news[report.name] = report
             row.report = report
             row.last_heartbeat_at = now
@@ -287,5 +296,10 @@
         return sorted(addresses, key=lambda address: stable_hash(key, str(address)))[:count]
 
 
+def _urgent_state(report: MemberReport) -> tuple[bool, bool]:
+    """Return the part of a report of which a change must reach other daemons at once."""
+    return report.is_isolated, report.is_turned_away
+
+
 def _version_of(report: MemberReport) -> tuple[int, int]:
     return report.incarnation, report.heartbeat
--- a/marigoldwalk/routing/readers.py
+++ b/marigoldwalk/routing/readers.py
@@ -6,6 +6,9 @@
 every change to all its followers, and the network link of a small machine would delay them for
 seconds when an index is resharded.
 
+The store may turn some daemons away and serve the others. A daemon that it does not answer reports
+that by gossip, and readers are selected from the others.
+
 While the store is down, no reader can answer, and hundreds of followers would all call the store
 until it is back. They keep asking the readers, which do so already, and turn to the store itself
 after a time that spreads their calls evenly.
@@ -29,6 +32,9 @@
 reader after 5 s."""
 
 
+TURNED_AWAY_S = 10.0
+"""Time for which a daemon that the store did not answer is not selected as a reader; each further
+try leaves those that follow it without changes for up to 3 s."""
 STORE_FALLBACK_S = 1.5
 """Time without any answer after which a follower may call the store itself."""
 FOLLOWER_CALLS_PER_S = 20.0
@@ -42,6 +48,7 @@
         self._membership = membership
         self._failed_until: dict[Address, float] = {}
         self._store_failed_until = 0.0
+        self._turned_away_until = float("-inf")
         self._answered_at = float("-inf")
         self._store_called_at = float("-inf")
 
@@ -51,6 +58,8 @@
         A reader that has just failed to read the store reads from the other readers, since the
         store may still serve these.
         """
+        if now >= self._turned_away_until:
+            self._membership.set_turned_away(False)
         own = self._membership.own
         readers = self._readers(now)
         if own in readers and self._store_failed_until <= now:
@@ -82,6 +91,13 @@
         """Avoid the store for a while if another reader is available."""
         self._store_failed_until = now + READER_BACKOFF_S
         self._store_called_at = now
+        self._turned_away_until = now + TURNED_AWAY_S
+        self._membership.set_turned_away(True)
+
+    def record_store_answer(self) -> None:
+        """Record that the store itself has answered."""
+        self._turned_away_until = float("-inf")
+        self._membership.set_turned_away(False)
 
     def _may_call_store(self, now: float) -> bool:
         """Return whether a follower that no reader answers should call the store itself."""
@@ -99,6 +115,7 @@
     def _readers(self, now: float) -> list[MemberReport]:
         own = self._membership.own
         live = [own, *(row.report for row in self._membership.alive(now))]
+        live = [report for report in live if not report.is_turned_away] or live
         domains = sorted({report.domain for report in live})
         strong = [strong_members(r for r in live if r.domain == domain) for domain in domains]
         readers = [min(reports, key=_rank) for reports in strong if reports]
--- a/marigoldwalk/wire/gen/gossip/ttypes.py
+++ b/marigoldwalk/wire/gen/gossip/ttypes.py
@@ -30,6 +30,7 @@
      - cores: CPU time available to the daemon, in cores.
      - leaving
      - isolated: Whether the daemon reaches no backend server.
+     - turned_away: Whether the platform's store has not answered the daemon of late.
 
     """
 
@@ -43,10 +44,11 @@
         'cores',
         'leaving',
         'isolated',
+        'turned_away',
     )
 
 
-    def __init__(self, name=None, host=None, port=None, incarnation=None, heartbeat=None, domain=None, cores=None, leaving=None, isolated=False,):
+    def __init__(self, name=None, host=None, port=None, incarnation=None, heartbeat=None, domain=None, cores=None, leaving=None, isolated=False, turned_away=False,):
         self.name = name
         self.host = host
         self.port = port
@@ -56,6 +58,7 @@
         self.cores = cores
         self.leaving = leaving
         self.isolated = isolated
+        self.turned_away = turned_away
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -111,6 +114,11 @@
                     self.isolated = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.turned_away = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -157,6 +165,10 @@
             oprot.writeFieldBegin('isolated', TType.BOOL, 9)
             oprot.writeBool(self.isolated)
             oprot.writeFieldEnd()
+        if self.turned_away is not None:
+            oprot.writeFieldBegin('turned_away', TType.BOOL, 11)
+            oprot.writeBool(self.turned_away)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -565,6 +577,8 @@
     (7, TType.DOUBLE, 'cores', None, None, ),  # 7
     (8, TType.BOOL, 'leaving', None, None, ),  # 8
     (9, TType.BOOL, 'isolated', None, False, ),  # 9
+    None,  # 10
+    (11, TType.BOOL, 'turned_away', None, False, ),  # 11
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
--- a/marigoldwalk/wire/gossip.thrift
+++ b/marigoldwalk/wire/gossip.thrift
@@ -21,6 +21,8 @@
   8: required bool leaving
   /** Whether the daemon reaches no backend server. */
   9: optional bool isolated = false
+  /** Whether the platform's store has not answered the daemon of late. */
+  11: optional bool turned_away = false
 }
 
 /** A server that crashed while it executed a request content. */
--- a/tests/gateway/scripted_store.py
+++ b/tests/gateway/scripted_store.py
@@ -54,6 +54,9 @@
     def record_store_failure(self, now):
         pass
 
+    def record_store_answer(self):
+        pass
+
 
 class Clock:
     now = 100.0
@@ -98,3 +101,6 @@
 
     def record_store_failure(self, now):
         pass
+
+    def record_store_answer(self):
+        pass
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -160,6 +160,9 @@
     def record_failure(self, reader, now):
         pass
 
+    def record_store_answer(self):
+        pass
+
 
 def test_first_read_goes_to_the_store_and_later_ones_to_a_reader(clock):
     readers = OneReader()
@@ -313,3 +316,31 @@
     while catalog.config.version == 1:
         watcher.poll()
     assert clock.now - acknowledged_at < APPLY_S
+
+
+def test_first_read_goes_to_a_reader_if_the_store_turns_the_daemon_away(clock):
+    readers = OneReader()
+    watcher, catalog = make_watcher(clock, StoreError("status 503"), readers=readers)
+    watcher._store.mirrors = {readers.address: ScriptedStore(UpdateBatch(servers("a"), 5))}
+    try:
+        watcher.poll()
+    except StoreError as exc:
+        watcher.record_failure(exc)
+    watcher.poll()
+    assert server_ids(catalog) == ["a"]
+    assert not watcher.is_fresh()
+
+
+def test_news_from_a_reader_may_be_as_old_as_its_mirror(clock):
+    readers = OneReader()
+    watcher, catalog = make_watcher(clock, UpdateBatch((), 5), readers=readers)
+    watcher._store.mirrors = {readers.address: ScriptedStore(UpdateBatch((), 6), StoreError("off"))}
+    assert catalog.confirmed_at == float("-inf")
+    watcher.poll()
+    assert catalog.confirmed_at == clock.now
+    clock.now += 3.0
+    watcher.poll()
+    assert catalog.confirmed_at == clock.now - MAX_MIRROR_AGE_S
+    clock.now += 3.0
+    watcher.poll()
+    assert catalog.confirmed_at == clock.now - 3.0 - MAX_MIRROR_AGE_S
