--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,6 +4,7 @@
 
 from marigoldwalk.gateway.header_codec import RawReply
 from marigoldwalk.platform.headers import PlatformHeaderCodec
+from marigoldwalk.platform.keys import digest_of
 from marigoldwalk.routing.exchanges import MergedAnswer
 
 CODEC = PlatformHeaderCodec()
@@ -140,3 +141,30 @@
     reply = read(STAMP, ("Retry-After", "2"), status=500)
     assert reply.pause_s == 0.0
     assert ("Retry-After", "2") in reply.headers
+
+
+KEYED = [
+    ("x-api-KEY", " k-1 "),
+    ("X-Marigoldwalk-Tenant-Id", "forged"),
+    ("x-marigoldwalk-tenant-id", "forged"),
+    ("X-Other", "kept"),
+]
+
+
+def test_keys_are_read_as_digests():
+    metadata = CODEC.read_request([*KEYED, ("X-Api-Key", "k-2")])
+    assert metadata.key_digests == (digest_of(b"k-1"), digest_of(b"k-2"))
+    assert CODEC.read_request([("X-Other", "k-1")]).key_digests == ()
+    assert "k-1" not in repr(metadata)
+
+
+def test_keys_and_tenants_of_callers_are_not_forwarded():
+    assert CODEC.forwarded_headers(KEYED, has_workspaces=True) == [("X-Other", "kept")]
+
+
+def test_keys_are_ordinary_headers_without_workspaces():
+    assert CODEC.forwarded_headers(KEYED, has_workspaces=False) == KEYED
+
+
+def test_servers_receive_the_name_of_the_workspace():
+    assert CODEC.workspace_headers("t-1") == [("x-marigoldwalk-tenant-id", "t-1")]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -11,6 +11,7 @@
     ServerRemoved,
     ServerUpdate,
 )
+from marigoldwalk.platform.keys import digest_of
 from marigoldwalk.platform.records import decode_item
 
 SERVER = {
@@ -163,3 +164,65 @@
 
 def test_other_keys_are_ignored():
     assert decode_item("op/notes", b"{}") is None
+
+
+def decode_tenants(tenants):
+    record = {"version": 7, "routes": [ROUTE], "services": [], "tenants": tenants}
+    return decode_item("op/config", encoded(record)).config
+
+
+def test_tenants_are_decoded_to_workspaces_without_their_keys():
+    config = decode_tenants(
+        [
+            {"name": "t-1", "api-keys": ["k-1", "k-2"], "priority": 2, "rate-per-s": 5, "burst": 9},
+            {"name": "t-2", "api-keys": ["k-3"]},
+        ]
+    )
+    first, second = config.workspaces
+    assert (first.name, first.priority, first.rate_per_s, first.burst) == ("t-1", 2, 5.0, 9.0)
+    assert first.key_digests == {digest_of(b"k-1"), digest_of(b"k-2")}
+    assert (second.priority, second.rate_per_s, second.burst) == (None, 0.0, 0.0)
+    assert "k-1" not in repr(config)
+
+
+@pytest.mark.parametrize("tenants", [None, []])
+def test_configuration_without_tenants_has_no_workspaces(tenants):
+    assert decode_tenants(tenants).workspaces == ()
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        7,
+        {"api-keys": ["k-1"]},
+        {"name": "two\r\nlines", "api-keys": ["k-1"]},
+        {"name": "t-1\n", "api-keys": ["k-1"]},
+        {"name": "t-1", "api-keys": ["k-1", ""]},
+        {"name": "t-1", "api-keys": "k-1"},
+        {"name": "t-1", "api-keys": ["k-1"], "rate-per-s": -1},
+        {"name": "t-1", "api-keys": ["k-1"], "burst": "large"},
+    ],
+)
+def test_invalid_tenant_has_no_keys_and_costs_nothing_else(entry, caplog):
+    config = decode_tenants([entry, {"name": "t-2", "api-keys": ["k-2"]}])
+    invalid, valid = config.workspaces
+    assert invalid.key_digests == frozenset()
+    assert (valid.name, len(valid.key_digests), len(config.routes)) == ("t-2", 1, 1)
+    assert "k-1" not in str([record.__dict__ for record in caplog.records])
+
+
+def test_configuration_with_only_invalid_tenants_still_requires_keys():
+    assert decode_tenants({"name": "t-1"}).workspaces != ()
+
+
+def test_invalid_configuration_is_reported_without_keys(caplog):
+    record = {"version": "x", "routes": [], "tenants": [{"name": "t-1", "api-keys": ["k-1"]}]}
+    assert decode_item("op/config", encoded(record)) is None
+    [logged] = caplog.records
+    assert "version" in logged.fields["why"]
+    assert "k-1" not in str(logged.__dict__)
+
+
+@pytest.mark.parametrize(("public", "expected"), [(True, True), (False, False), (None, False)])
+def test_public_routes_are_decoded(public, expected):
+    assert decode_route(public=public).is_public is expected
