Show workspaces in status and count their refusals

Cause: an operator could not see which workspaces a daemon knows, nor whose requests it refuses. Change: status lists the workspaces and the age of the news, explain says whether a route needs a key, and a metric counts refusals by workspace, 20 of them by name. Logs name the workspace.

--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -6,7 +6,7 @@
 
 import bottle
 from prometheus_client import CONTENT_TYPE_LATEST
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from ..daemon.error_responses import error_response, unhandled_error_response
 from ..errors import Code
@@ -42,6 +42,7 @@
         self._world = world
         self._membership = membership
         self._delegation = delegation
+        self._recorder = recorder
         self._registry = make_registry(recorder, self._metric_families)
 
     def _status(self) -> dict[str, Any]:
@@ -63,6 +64,17 @@
                 for row in self._membership.rows()
             ],
             "carriers": sorted(self._delegation.delegates),
+            "news_age_s": round(now - catalog.confirmed_at, 2) if catalog.config else None,
+            "workspaces": [
+                {
+                    "name": workspace.name,
+                    "keys": len(workspace.key_digests),
+                    "priority": workspace.priority,
+                    "rate_per_s": workspace.rate_per_s,
+                    "burst": workspace.burst,
+                }
+                for workspace in (catalog.config.workspaces if catalog.config else ())
+            ],
         }
 
     def _explain(self, route: str) -> bottle.HTTPResponse:
@@ -80,6 +92,7 @@
             {
                 "route": route_config.name,
                 "idempotent": route_config.idempotent,
+                "needs_key": bool(catalog.config.workspaces) and not route_config.is_public,
                 "target_ms": route_config.target_s * 1000,
                 "max_attempts": route_config.max_attempts,
                 "servers": rows,
@@ -128,6 +141,14 @@
             "Servers that took no connection since the last one that did",
             reachability.unopened_count,
         )
+        refusals = CounterMetricFamily(
+            f"{PREFIX}_workspace_refusal",
+            "Requests of a workspace that were refused or failed",
+            labels=["workspace", "reason"],
+        )
+        for labels, count in sorted(self._recorder.workspace_refusals.items()):
+            refusals.add_metric(labels, count)
+        yield refusals
         yield _gauge("timer_lag_seconds", "How late due answers have left", world.answer_lag.lag_s)
 
 
--- a/marigoldwalk/gateway/reporter.py
+++ b/marigoldwalk/gateway/reporter.py
@@ -28,14 +28,14 @@
 
     def refused(self, request: CallerRequest, answer: ErrorAnswer) -> None:
         """Report a request that was refused before it was routed."""
-        self._counters[f"refusal.{answer.reason.value}"] += 1
+        self._count(request, answer)
         fields = {
             "request": request.request_id,
             "content": request.fingerprint,
             "status": answer.status,
             "reason": answer.reason.value,
             "path": request.path,
-            "workspace": request.workspace.name if request.workspace else None,
+            "workspace": _workspace_name(request),
         }
         logger.info("request refused", extra={"fields": fields, "important": True})
 
@@ -56,7 +56,7 @@
         if not isinstance(answer, ErrorAnswer):
             self._recorder.record_latency(exchange.route.name, elapsed_ms / 1000)
         if isinstance(answer, ErrorAnswer):
-            self._counters[f"refusal.{answer.reason.value}"] += 1
+            self._count(exchange.request, answer)
             self._log("request failed", exchange, elapsed_ms, answer)
         elif isinstance(answer, MergedAnswer) and answer.missing_count:
             self._counters["answer.partial"] += 1
@@ -70,6 +70,11 @@
         else:
             self._counters["answer.whole"] += 1
 
+    def _count(self, request: CallerRequest, answer: ErrorAnswer) -> None:
+        self._counters[f"refusal.{answer.reason.value}"] += 1
+        if request.workspace is not None:
+            self._recorder.record_refusal(request.workspace.name, answer.reason.value)
+
     def _log(self, message: str, exchange: Exchange, elapsed_ms: float, answer: Answer) -> None:
         fields = self._fields(exchange, elapsed_ms)
         if isinstance(answer, ErrorAnswer):
@@ -86,7 +91,7 @@
         return {
             "request": exchange.request.request_id,
             "route": exchange.route.name,
-            "workspace": exchange.request.workspace.name if exchange.request.workspace else None,
+            "workspace": _workspace_name(exchange.request),
             "version": exchange.config_version,
             "elapsed_ms": elapsed_ms,
             "target_ms": round(exchange.route.target_s * 1000),
@@ -97,6 +102,10 @@
         }
 
 
+def _workspace_name(request: CallerRequest) -> str | None:
+    return request.workspace.name if request.workspace is not None else None
+
+
 def _describe(task: Task) -> str:
     """Return why *task* has no reply, where it may have run, and why it was not sent again."""
     servers = ",".join(sorted(task.may_have_run_on))
--- a/marigoldwalk/metrics/recorder.py
+++ b/marigoldwalk/metrics/recorder.py
@@ -15,6 +15,10 @@
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
+MAX_WORKSPACES = 20
+"""Number of workspaces with counts of their own, which bounds the number of time series."""
+OTHER_WORKSPACES = "other"
+"""Label of the counts of all further ones."""
 
 
 class Recorder:
@@ -30,6 +34,9 @@
         self.shards_wanted: Counter[str] = Counter()
         self.shards_answered: Counter[str] = Counter()
         self.subrequests: Counter[str] = Counter()
+        self.workspace_refusals: Counter[tuple[str, str]] = Counter()
+        """Refused and failed requests by workspace and reason."""
+        self._workspaces: set[str] = set()
 
     def record(self, answer: AnswerCaller) -> None:
         """Record one answer."""
@@ -44,6 +51,13 @@
         """Record the latency of one answer for *group*, the name of a group or route."""
         self._histogram(group).record_value(_microseconds(elapsed_s))
 
+    def record_refusal(self, workspace: str, reason: str) -> None:
+        """Record a request of *workspace* that was refused or failed."""
+        if len(self._workspaces) < MAX_WORKSPACES:
+            self._workspaces.add(workspace)
+        label = workspace if workspace in self._workspaces else OTHER_WORKSPACES
+        self.workspace_refusals[label, reason] += 1
+
     def _histogram(self, group: str) -> HdrHistogram:
         histogram = self.latency_us.get(group)
         if histogram is None:
--- a/standins/gateway_backends.py
+++ b/standins/gateway_backends.py
@@ -161,6 +161,7 @@
     ) -> None:
         self.server_id = server_id
         self.requests = []
+        self.headers = []
         self._body = body
         self._answer = answer
         self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
@@ -188,6 +189,7 @@
     def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
         self.requests.append((environ["REQUEST_METHOD"], environ["PATH_INFO"], body))
+        self.headers.append({k: v for k, v in environ.items() if k.startswith("HTTP_")})
         if self._answer is not None:
             return self._answer(environ, start_response)
         headers = [
