--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -147,7 +147,7 @@
     while (source := readers.choose(NOW)) is not None:
         seen.add(source)
         readers.record_failure(source, NOW)
-    assert len(seen) == MIN_READERS - 1
+    assert len(seen) == MIN_READERS
     assert readers.choose(NOW + READER_BACKOFF_S) is None
 
 
