Keep the quotas of workspaces over all daemons

Cause: a configuration may limit the requests of a workspace for all daemons together, and nothing counted them. Change: one daemon for each workspace, the holder, counts its requests; the others report what they admit and ask first once the quota is nearly used up.

--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -20,6 +20,8 @@
     from ..metrics.recorder import Recorder
     from ..routing.delegation import Delegation
     from ..routing.membership import Membership
+    from ..routing.model import Workspace
+    from ..routing.quotas import WorkspaceQuotas
     from ..routing.tables import ServerRow
     from ..routing.world import RoutingWorld
 
@@ -33,6 +35,7 @@
         membership: Membership,
         delegation: Delegation,
         recorder: Recorder,
+        quotas: WorkspaceQuotas,
     ) -> None:
         self.app = bottle.Bottle()
         self.app.route("/status", "GET", self._status)
@@ -42,6 +45,7 @@
         self._world = world
         self._membership = membership
         self._delegation = delegation
+        self._quotas = quotas
         self._registry = make_registry(recorder, self._metric_families)
 
     def _status(self) -> dict[str, Any]:
@@ -63,6 +67,24 @@
                 for row in self._membership.rows()
             ],
             "carriers": sorted(self._delegation.delegates),
+            "workspaces": [
+                self._describe_quota(workspace, now)
+                for workspace in (catalog.config.workspaces if catalog.config else ())
+            ],
+        }
+
+    def _describe_quota(self, workspace: Workspace, now: float) -> dict[str, Any]:
+        """Return the quota of a workspace and what this daemon knows of its use."""
+        state = self._quotas.states.get(workspace.name)
+        bucket = self._quotas.buckets.get(workspace.name)
+        return {
+            "name": workspace.name,
+            "rate_per_s": workspace.rate_per_s,
+            "burst": workspace.burst,
+            "holders": self._quotas.holder_names(workspace.name, now),
+            "left": round(bucket.tokens, 2) if bucket is not None else None,
+            "scarce": state is not None and now < state.scarce_until,
+            "refused": self._world.counters[f"quota_refused.{workspace.name}"],
         }
 
     def _explain(self, route: str) -> bottle.HTTPResponse:
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -17,6 +17,7 @@
 from ..metrics.recorder import Recorder
 from ..routing.delegation import Delegation
 from ..routing.membership import MemberReport, Membership
+from ..routing.quotas import WorkspaceQuotas
 from ..routing.readers import Readers
 from ..routing.router import Router
 from ..routing.senders import Senders
@@ -28,6 +29,7 @@
 from .executor import ActionExecutor
 from .frontend import Frontend
 from .gossip import GossipTransport
+from .quota_exchange import QuotaExchange
 from .reporter import Reporter
 from .store_watcher import StoreWatcher
 
@@ -84,7 +86,12 @@
         delegate_client = DelegateClient(self.delegation, self._pool, now, counters)
         self._recorder = Recorder()
         reporter = Reporter(counters, self._recorder)
-        self._frontend = Frontend(router, self._executor, delegate_client, codec, reporter, now)
+        has_seeds = any(seed != settings.peer_address for seed in settings.seeds)
+        self._quotas = WorkspaceQuotas(self.world, self._membership, has_seeds)
+        quota_exchange = QuotaExchange(self._quotas, self._membership, now, counters)
+        self._frontend = Frontend(
+            router, self._executor, delegate_client, codec, reporter, now, quota_exchange
+        )
         store, mirror_app = open_store(self._is_fresh)
         readers = Readers(self._membership)
         self._store_watcher = StoreWatcher(store, readers, self.world.catalog, now, counters)
@@ -113,6 +120,8 @@
             now,
             counters,
             self._on_members_changed,
+            self._quotas,
+            quota_exchange,
         )
         self._on_members_changed()
         self._stop_requested = Event()
@@ -141,14 +150,17 @@
             from .admin import GatewayAdmin
 
             self._admin = GatewayAdmin(
-                self.world, self._membership, self.delegation, self._recorder
+                self.world, self._membership, self.delegation, self._recorder, self._quotas
             )
         return self._admin.app(environ, start_response)
 
     def _on_members_changed(self) -> None:
         """Recompute this daemon's share of the fleet's limits."""
         world = self.world
-        self.delegation.update(world.catalog.min_shard_connections, self._clock.now())
+        now = self._clock.now()
+        self.delegation.update(world.catalog.min_shard_connections, now)
+        if world.catalog.config is not None and world.catalog.config.workspaces:
+            self._quotas.members_changed(now)
         senders = Senders(
             self.settings.name,
             self._membership.possible_member_names(),
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -34,6 +34,7 @@
     from .delegate_client import DelegateClient
     from .executor import ActionExecutor, ActiveExchange
     from .header_codec import HeaderCodec
+    from .quota_exchange import QuotaExchange
     from .reporter import Reporter
 
 logger = logging.getLogger(__name__)
@@ -61,6 +62,7 @@
         codec: HeaderCodec,
         reporter: Reporter,
         now: Callable[[], float],
+        quota_exchange: QuotaExchange,
     ) -> None:
         self.is_stopping = False
         self._router = router
@@ -69,6 +71,7 @@
         self._codec = codec
         self._reporter = reporter
         self._now = now
+        self._quota_exchange = quota_exchange
 
     def handle_caller(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -85,6 +88,10 @@
         if isinstance(exchange, ErrorAnswer):
             self._reporter.refused(parsed.request, exchange)
             return self._respond(environ, start_response, exchange)
+        refusal = self._quota_exchange.admit(exchange)
+        if refusal is not None:
+            self._reporter.refused(parsed.request, refusal)
+            return self._respond(environ, start_response, refusal)
         if self._router.is_isolated and not self._must_run_here(exchange):
             return self._run_elsewhere(exchange, parsed.body, environ, start_response)
         if exchange.route.fan_out is not None and not parsed.body:
@@ -175,6 +182,8 @@
         answer = self._execute(exchange, body, environ)
         if _is_unreachable(answer):
             return self._run_elsewhere(exchange, body, environ, start_response)
+        if isinstance(answer, ErrorAnswer) and not exchange.may_have_run:
+            self._quota_exchange.give_back(exchange)
         return self._respond_or_drop(environ, start_response, answer)
 
     def _execute(self, exchange: Exchange, body: bytes, environ: dict[str, Any]) -> Answer | None:
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -17,13 +17,16 @@
 from ..routing.membership import MemberReport
 from ..routing.suspects import Crash, Evidence
 from ..wire.gen.gossip import ttypes
+from .quota_messages import QuotaMessage, decode_quota
 
 if TYPE_CHECKING:
     from collections import Counter
     from collections.abc import Callable, Sequence
 
     from ..routing.membership import Membership
+    from ..routing.quotas import WorkspaceQuotas
     from ..routing.suspects import Suspects
+    from .quota_exchange import QuotaExchange
 
 logger = logging.getLogger(__name__)
 
@@ -52,7 +55,11 @@
         now: Callable[[], float],
         counters: Counter[str],
         on_change: Callable[[], None],
+        quotas: WorkspaceQuotas | None = None,
+        quota_exchange: QuotaExchange | None = None,
     ) -> None:
+        self._quotas = quotas
+        self._quota_exchange = quota_exchange
         self._membership = membership
         self._suspects = suspects
         self._now = now
@@ -62,6 +69,8 @@
         self._sock.bind((listen_address.host, listen_address.port))
         self._greenlets: list[gevent.Greenlet] = []
         self._known_count = 0
+        if quota_exchange is not None:
+            quota_exchange.send = self._send
 
     @property
     def address(self) -> tuple[str, int]:
@@ -118,7 +127,7 @@
     def _receive(self) -> None:
         while True:
             try:
-                datagram, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                datagram, source = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 # The error may be due to a datagram of our own that was refused; keep receiving.
                 self._counters["gossip.unreceived"] += 1
@@ -129,12 +138,24 @@
                 self._counters["gossip.malformed"] += 1
                 continue
             now = self._now()
+            self._record_heard(message, now)
+            if message.quota is not None:
+                if self._quota_exchange is not None:
+                    self._quota_exchange.receive(message.quota, Address(*source))
+                continue
             self._merge_evidence(message, now)
             if self._membership.merge(message.reports, now):
                 answer = encode(self._membership.reports(now), self._suspects.evidence(now))
                 self._send(answer, message.reports[0].address)
             self._report_members()
 
+    def _record_heard(self, message: GossipMessage, now: float) -> None:
+        sender = message.reports[0].name if message.reports else ""
+        if message.quota is not None:
+            sender = message.quota.sender
+        if self._quotas is not None and sender:
+            self._quotas.heard(sender, now)
+
     def _merge_evidence(self, message: GossipMessage, now: float) -> None:
         for fingerprint in self._suspects.merge(message.evidence, now):
             self._counters["suspect.received"] += 1
@@ -163,6 +184,8 @@
     reports: tuple[MemberReport, ...]
     """Reports on members, the sender's own first."""
     evidence: tuple[Evidence, ...]
+    quota: QuotaMessage | None = None
+    """A message about a quota, in datagrams that have nothing else."""
 
 
 def encode(reports: Sequence[MemberReport], evidence: Sequence[Evidence]) -> bytes:
@@ -209,10 +232,11 @@
             if _is_complete(m)
         ]
         evidence = [_decode_evidence(e) for e in gossip.evidence]
+        quota = decode_quota(gossip.quota)
     except Exception as exc:  # noqa: BLE001 (thrift raises many kinds on malformed bytes)
         logger.debug("invalid gossip datagram: %r", exc)
         return None
-    return GossipMessage(tuple(reports), tuple(evidence))
+    return GossipMessage(tuple(reports), tuple(evidence), quota)
 
 
 def _encode_evidence(evidence: Evidence) -> ttypes.Evidence:
--- /dev/null
+++ b/marigoldwalk/gateway/quota_messages.py
@@ -0,0 +1,95 @@
+"""Encoding of the datagrams about quotas."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from ..routing.quota_buckets import QuotaAnswer, QuotaAsk
+from ..wire.gen.gossip import ttypes
+
+MAX_ROOM_MS = 2**31 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaMessage:
+    """The content of one datagram about quotas."""
+
+    sender: str
+    ask: QuotaAsk | None = None
+    answer: QuotaAnswer | None = None
+    scarce: str = ""
+    """A workspace whose quota is nearly used up."""
+
+
+def encode_quota(message: QuotaMessage) -> bytes:
+    """Return a datagram with *message*; earlier releases ignore its content."""
+    ask, answer = message.ask, message.answer
+    record = ttypes.Quota(message.sender)
+    if ask is not None:
+        record.ask = ttypes.QuotaAsk(
+            ask.number,
+            ask.workspace,
+            ask.version,
+            ask.rate_per_s,
+            ask.burst,
+            ask.count,
+            ask.is_admitted,
+            ask.is_referred,
+        )
+    if answer is not None:
+        record.answer = ttypes.QuotaAnswer(
+            answer.number,
+            answer.is_granted,
+            _milliseconds(answer.room_s),
+            _milliseconds(answer.retry_s),
+            answer.is_scarce,
+            answer.is_leaving,
+        )
+    record.scarce = message.scarce or None
+    buffer = TMemoryBuffer()
+    ttypes.Gossip([], [], record).write(TBinaryProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode_quota(record: ttypes.Quota | None) -> QuotaMessage | None:
+    """Return the message in *record*, or ``None`` if there is none.
+
+    Raises :class:`ValueError` or a thrift exception if it is invalid.
+    """
+    if record is None:
+        return None
+    record.validate()
+    ask = answer = None
+    if record.ask is not None:
+        ask = _decode_ask(record.ask)
+    if record.answer is not None:
+        a = record.answer
+        a.validate()
+        answer = QuotaAnswer(
+            a.number, a.granted, a.room_ms / 1000, a.retry_ms / 1000, a.scarce, a.leaving
+        )
+    return QuotaMessage(record.sender, ask, answer, record.scarce or "")
+
+
+def _decode_ask(record: ttypes.QuotaAsk) -> QuotaAsk:
+    record.validate()
+    if not (record.rate_per_s > 0 and record.burst >= 0 and -1 <= record.count <= 1):
+        raise ValueError("the quota or the number of requests is out of range")
+    return QuotaAsk(
+        record.number,
+        record.workspace,
+        record.version,
+        record.rate_per_s,
+        record.burst,
+        record.count,
+        record.admitted,
+        record.referred,
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return min(math.ceil(seconds * 1000), MAX_ROOM_MS)
--- a/marigoldwalk/wire/gen/gossip/ttypes.py
+++ b/marigoldwalk/wire/gen/gossip/ttypes.py
@@ -453,23 +453,446 @@
         return not (self == other)
 
 
+class QuotaAsk(object):
+    """
+    A request of a workspace that a daemon reports to a holder of the quota, or asks to admit.
+
+    Attributes:
+     - number: Identifies the answer.
+     - workspace
+     - version: The version of the configuration that states the quota below.
+     - rate_per_s
+     - burst
+     - count: Number of requests; -1 takes back one that did not run, and 0 only asks.
+     - admitted: Whether the request has been admitted already.
+     - referred: Whether a leaving holder has referred the sender to this one.
+
+    """
+
+    __slots__ = (
+        'number',
+        'workspace',
+        'version',
+        'rate_per_s',
+        'burst',
+        'count',
+        'admitted',
+        'referred',
+    )
+
+
+    def __init__(self, number=None, workspace=None, version=None, rate_per_s=None, burst=None, count=None, admitted=None, referred=None,):
+        self.number = number
+        self.workspace = workspace
+        self.version = version
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.count = count
+        self.admitted = admitted
+        self.referred = referred
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.workspace = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.burst = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.admitted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.referred = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaAsk')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.workspace is not None:
+            oprot.writeFieldBegin('workspace', TType.STRING, 2)
+            oprot.writeString(self.workspace.encode('utf-8') if sys.version_info[0] == 2 else self.workspace)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.DOUBLE, 5)
+            oprot.writeDouble(self.burst)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 6)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.admitted is not None:
+            oprot.writeFieldBegin('admitted', TType.BOOL, 7)
+            oprot.writeBool(self.admitted)
+            oprot.writeFieldEnd()
+        if self.referred is not None:
+            oprot.writeFieldBegin('referred', TType.BOOL, 8)
+            oprot.writeBool(self.referred)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.workspace is None:
+            raise TProtocolException(message='Required field workspace is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.rate_per_s is None:
+            raise TProtocolException(message='Required field rate_per_s is unset!')
+        if self.burst is None:
+            raise TProtocolException(message='Required field burst is unset!')
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        if self.admitted is None:
+            raise TProtocolException(message='Required field admitted is unset!')
+        if self.referred is None:
+            raise TProtocolException(message='Required field referred is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaAnswer(object):
+    """
+    Attributes:
+     - number
+     - granted
+     - room_ms: Time in milliseconds until the quota has room for a request.
+     - retry_ms: Time in milliseconds after which the caller should try again.
+     - scarce: Whether the quota is nearly used up, so that requests are admitted only after asking.
+     - leaving: Whether the daemon is leaving, or has just started, and the next one should be asked.
+
+    """
+
+    __slots__ = (
+        'number',
+        'granted',
+        'room_ms',
+        'retry_ms',
+        'scarce',
+        'leaving',
+    )
+
+
+    def __init__(self, number=None, granted=None, room_ms=None, retry_ms=None, scarce=None, leaving=None,):
+        self.number = number
+        self.granted = granted
+        self.room_ms = room_ms
+        self.retry_ms = retry_ms
+        self.scarce = scarce
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.room_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.retry_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.scarce = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaAnswer')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 2)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.room_ms is not None:
+            oprot.writeFieldBegin('room_ms', TType.I32, 3)
+            oprot.writeI32(self.room_ms)
+            oprot.writeFieldEnd()
+        if self.retry_ms is not None:
+            oprot.writeFieldBegin('retry_ms', TType.I32, 4)
+            oprot.writeI32(self.retry_ms)
+            oprot.writeFieldEnd()
+        if self.scarce is not None:
+            oprot.writeFieldBegin('scarce', TType.BOOL, 5)
+            oprot.writeBool(self.scarce)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.granted is None:
+            raise TProtocolException(message='Required field granted is unset!')
+        if self.room_ms is None:
+            raise TProtocolException(message='Required field room_ms is unset!')
+        if self.retry_ms is None:
+            raise TProtocolException(message='Required field retry_ms is unset!')
+        if self.scarce is None:
+            raise TProtocolException(message='Required field scarce is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Quota(object):
+    """
+    The part of a datagram that concerns the quotas of workspaces.
+
+    Attributes:
+     - sender: The sender's name.
+     - ask
+     - answer
+     - scarce: A workspace whose quota is nearly used up.
+
+    """
+
+    __slots__ = (
+        'sender',
+        'ask',
+        'answer',
+        'scarce',
+    )
+
+
+    def __init__(self, sender=None, ask=None, answer=None, scarce=None,):
+        self.sender = sender
+        self.ask = ask
+        self.answer = answer
+        self.scarce = scarce
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.ask = QuotaAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.answer = QuotaAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.scarce = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Quota')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 2)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 3)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
+        if self.scarce is not None:
+            oprot.writeFieldBegin('scarce', TType.STRING, 4)
+            oprot.writeString(self.scarce.encode('utf-8') if sys.version_info[0] == 2 else self.scarce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
-     - members: The sender is the first member.
+     - members: The sender is the first member; the list is empty in datagrams about quotas.
      - evidence
+     - quota
 
     """
 
     __slots__ = (
         'members',
         'evidence',
+        'quota',
     )
 
 
-    def __init__(self, members=None, evidence=None,):
+    def __init__(self, members=None, evidence=None, quota=None,):
         self.members = members
         self.evidence = evidence
+        self.quota = quota
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -502,6 +925,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.quota = Quota()
+                    self.quota.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -526,6 +955,10 @@
                 iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.quota is not None:
+            oprot.writeFieldBegin('quota', TType.STRUCT, 3)
+            self.quota.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -583,11 +1016,42 @@
     (3, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 3
     (4, TType.BOOL, 'harmless', None, None, ),  # 4
 )
+all_structs.append(QuotaAsk)
+QuotaAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'workspace', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate_per_s', None, None, ),  # 4
+    (5, TType.DOUBLE, 'burst', None, None, ),  # 5
+    (6, TType.I32, 'count', None, None, ),  # 6
+    (7, TType.BOOL, 'admitted', None, None, ),  # 7
+    (8, TType.BOOL, 'referred', None, None, ),  # 8
+)
+all_structs.append(QuotaAnswer)
+QuotaAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'granted', None, None, ),  # 2
+    (3, TType.I32, 'room_ms', None, None, ),  # 3
+    (4, TType.I32, 'retry_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'scarce', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+)
+all_structs.append(Quota)
+Quota.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'ask', [QuotaAsk, None], None, ),  # 2
+    (3, TType.STRUCT, 'answer', [QuotaAnswer, None], None, ),  # 3
+    (4, TType.STRING, 'scarce', 'UTF8', None, ),  # 4
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
     (2, TType.LIST, 'evidence', (TType.STRUCT, [Evidence, None], False), None, ),  # 2
+    (3, TType.STRUCT, 'quota', [Quota, None], None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/marigoldwalk/wire/gossip.thrift
+++ b/marigoldwalk/wire/gossip.thrift
@@ -46,8 +46,49 @@
   4: optional bool harmless
 }
 
+/** A request of a workspace that a daemon reports to a holder of the quota, or asks to admit. */
+struct QuotaAsk {
+  /** Identifies the answer. */
+  1: required i64 number
+  2: required string workspace
+  /** The version of the configuration that states the quota below. */
+  3: required i64 version
+  4: required double rate_per_s
+  5: required double burst
+  /** Number of requests; -1 takes back one that did not run, and 0 only asks. */
+  6: required i32 count
+  /** Whether the request has been admitted already. */
+  7: required bool admitted
+  /** Whether a leaving holder has referred the sender to this one. */
+  8: required bool referred
+}
+
+struct QuotaAnswer {
+  1: required i64 number
+  2: required bool granted
+  /** Time in milliseconds until the quota has room for a request. */
+  3: required i32 room_ms
+  /** Time in milliseconds after which the caller should try again. */
+  4: required i32 retry_ms
+  /** Whether the quota is nearly used up, so that requests are admitted only after asking. */
+  5: required bool scarce
+  /** Whether the daemon is leaving, or has just started, and the next one should be asked. */
+  6: required bool leaving
+}
+
+/** The part of a datagram that concerns the quotas of workspaces. */
+struct Quota {
+  /** The sender's name. */
+  1: required string sender
+  2: optional QuotaAsk ask
+  3: optional QuotaAnswer answer
+  /** A workspace whose quota is nearly used up. */
+  4: optional string scarce
+}
+
 struct Gossip {
-  /** The sender is the first member. */
+  /** The sender is the first member; the list is empty in datagrams about quotas. */
   1: required list<Member> members
   2: required list<Evidence> evidence
+  3: optional Quota quota
 }
