--- a/marigoldwalk/routing/quotas.py
+++ b/marigoldwalk/routing/quotas.py
@@ -43,8 +43,9 @@
 """Time for which requests are admitted only after asking, counted from the last notice."""
 NOTICE_INTERVAL_S = 1.0
 """Minimum interval between the notices to all daemons that a quota is nearly used up."""
-MAX_BLOCK_S = 1.0
-"""Maximum time for which requests are refused without asking again."""
+MAX_BLOCK_S = 0.05
+"""Maximum time for which requests are refused without asking again; the holder does not count these
+and tells their callers' time to others too."""
 _HASH_RANGE = 2**64
 
 
