Let daemons that start together hold quotas at once, and refer asks to the right holder

Cause: after all daemons are killed, each in turn would have been the only settled one and thus the holder of every quota, and daemons that know few others would each have granted something. Change: daemons that started within 3 s of the oldest are settled; a daemon that is neither holder nor stand-in says so; the own share of a new daemon begins below one request. Measured: a fleet of 67 killed at once stays within the bound and serves its rate (tests/routing/test_quotas.py).

--- a/marigoldwalk/gateway/quota_messages.py
+++ b/marigoldwalk/gateway/quota_messages.py
@@ -48,6 +48,7 @@
             _milliseconds(answer.retry_s),
             answer.is_scarce,
             answer.is_leaving,
+            answer.is_elsewhere,
         )
     record.scarce = message.scarce or None
     buffer = TMemoryBuffer()
@@ -67,11 +68,7 @@
     if record.ask is not None:
         ask = _decode_ask(record.ask)
     if record.answer is not None:
-        a = record.answer
-        a.validate()
-        answer = QuotaAnswer(
-            a.number, a.granted, a.room_ms / 1000, a.retry_ms / 1000, a.scarce, a.leaving
-        )
+        answer = _decode_answer(record.answer)
     return QuotaMessage(record.sender, ask, answer, record.scarce or "")
 
 
@@ -91,5 +88,18 @@
     )
 
 
+def _decode_answer(record: ttypes.QuotaAnswer) -> QuotaAnswer:
+    record.validate()
+    return QuotaAnswer(
+        record.number,
+        record.granted,
+        record.room_ms / 1000,
+        record.retry_ms / 1000,
+        record.scarce,
+        record.leaving,
+        record.elsewhere,
+    )
+
+
 def _milliseconds(seconds: float) -> int:
     return min(math.ceil(seconds * 1000), MAX_ROOM_MS)
--- a/marigoldwalk/routing/quota_buckets.py
+++ b/marigoldwalk/routing/quota_buckets.py
@@ -59,6 +59,8 @@
     is_scarce: bool = False
     is_leaving: bool = False
     """Whether the daemon is leaving, or has just started, and the next one should be asked."""
+    is_elsewhere: bool = False
+    """Whether other daemons hold the quota, as far as the sender knows."""
 
 
 @dataclass(slots=True)
--- a/marigoldwalk/routing/quotas.py
+++ b/marigoldwalk/routing/quotas.py
@@ -37,6 +37,8 @@
 above, so that two daemons do not grant the same rate."""
 AVOID_S = 1.0
 """Time for which a daemon that did not answer is not asked again."""
+STARTED_TOGETHER_S = 3.0
+"""Maximum difference of the starts of daemons that become holders together."""
 PROBE_INTERVAL_S = 0.5
 """Minimum interval between a stand-in's checks whether the holder is back."""
 SCARCE_S = 3.0
@@ -144,7 +146,7 @@
                 self._record_silence(name, now)
             elif answer.is_leaving:
                 is_referred = True
-            else:
+            elif not answer.is_elsewhere:
                 self._record_answer(workspace, answer, now)
                 return answer
         if count > 0:
@@ -167,6 +169,8 @@
         order = rendezvous_order(ask.workspace, candidates, HOLDER_COUNT)
         if self._membership.own.name not in candidates:
             return QuotaAnswer(ask.number, is_leaving=True)
+        if self._membership.own.name not in order:
+            return QuotaAnswer(ask.number, is_elsewhere=True)
         ask = self._under_own_version(ask)
         return self.buckets.take(ask, self._factor(ask, order, now), now)
 
@@ -243,7 +247,7 @@
 
     def record_late(self, workspace: Workspace, answer: QuotaAnswer, now: float) -> None:
         """Record an answer that came after the request had been charged to the own share."""
-        if answer.is_leaving:
+        if answer.is_leaving or answer.is_elsewhere:
             return
         state = self._refilled_state(workspace, now)
         if answer.is_granted:
@@ -266,16 +270,18 @@
         return rendezvous_order(workspace, self._candidates(now), HOLDER_COUNT)
 
     def _candidates(self, now: float) -> tuple[str, ...]:
-        """Return the daemons that may be holders: those that are settled if there are any.
+        """Return the daemons that may be holders: those that are settled.
 
         All daemons know the start of a new one before it becomes a holder, so the old holder ends
-        when the new one begins.
+        when the new one begins. Daemons that have started with the oldest one are settled, since
+        there is no old holder.
         """
         own = self._membership.own
         reports = [own, *(row.report for row in self._membership.alive(now))]
         staying = [report for report in reports if not report.is_leaving] or [own]
-        settled = [r.name for r in staying if now - r.incarnation / 1000 >= SETTLE_S]
-        return tuple(sorted(settled or (report.name for report in staying)))
+        oldest_ms = min(report.incarnation for report in staying)
+        latest_ms = max((now - SETTLE_S) * 1000, oldest_ms + STARTED_TOGETHER_S * 1000)
+        return tuple(sorted(r.name for r in staying if r.incarnation <= latest_ms))
 
     def _factor(self, ask: QuotaAsk, order: list[str], now: float) -> float:
         """Return the part of the rate that this daemon grants; 0 if it is not the holder."""
@@ -366,23 +372,28 @@
     def _state(self, workspace: Workspace, now: float) -> QuotaState:
         state = self.states.get(workspace.name)
         if state is None:
-            state = self.states[workspace.name] = QuotaState(1.0, now)
+            is_new = now - self._started_at < SETTLE_S
+            tokens = self._phase(workspace) if is_new else 1.0
+            state = self.states[workspace.name] = QuotaState(tokens, now)
         return state
 
     def _refilled_state(self, workspace: Workspace, now: float) -> QuotaState:
         """Return the state with the own share up to date.
 
         At most one request is saved up, and less if the quota was nearly used up when a holder was
-        last heard, since all daemons may send what they have saved at the same time.
+        last heard, or after a start, since all daemons may send what they have saved together.
         """
         state = self._state(workspace, now)
         earned = self._share_per_s(workspace) * (now - state.share_updated_at)
         state.share_tokens = min(1.0, state.share_tokens + earned)
         if now < state.scarce_until and now - state.unanswered_at >= SCARCE_S:
-            phase = stable_hash(self._membership.own.name, workspace.name) / _HASH_RANGE
-            state.share_tokens = min(state.share_tokens, phase)
+            state.share_tokens = min(state.share_tokens, self._phase(workspace))
         state.share_updated_at = now
         return state
 
+    def _phase(self, workspace: Workspace) -> float:
+        """Return a fraction that differs between daemons."""
+        return stable_hash(self._membership.own.name, workspace.name) / _HASH_RANGE
+
     def _share_per_s(self, workspace: Workspace) -> float:
         return workspace.rate_per_s / self._membership.possible_member_count()
--- a/marigoldwalk/wire/gen/gossip/ttypes.py
+++ b/marigoldwalk/wire/gen/gossip/ttypes.py
@@ -632,6 +632,7 @@
      - retry_ms: Time in milliseconds after which the caller should try again.
      - scarce: Whether the quota is nearly used up, so that requests are admitted only after asking.
      - leaving: Whether the daemon is leaving, or has just started, and the next one should be asked.
+     - elsewhere: Whether other daemons hold the quota, as far as the sender knows.
 
     """
 
@@ -642,16 +643,18 @@
         'retry_ms',
         'scarce',
         'leaving',
+        'elsewhere',
     )
 
 
-    def __init__(self, number=None, granted=None, room_ms=None, retry_ms=None, scarce=None, leaving=None,):
+    def __init__(self, number=None, granted=None, room_ms=None, retry_ms=None, scarce=None, leaving=None, elsewhere=None,):
         self.number = number
         self.granted = granted
         self.room_ms = room_ms
         self.retry_ms = retry_ms
         self.scarce = scarce
         self.leaving = leaving
+        self.elsewhere = elsewhere
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -692,6 +695,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.elsewhere = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -726,6 +734,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 6)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.elsewhere is not None:
+            oprot.writeFieldBegin('elsewhere', TType.BOOL, 7)
+            oprot.writeBool(self.elsewhere)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -742,6 +754,8 @@
             raise TProtocolException(message='Required field scarce is unset!')
         if self.leaving is None:
             raise TProtocolException(message='Required field leaving is unset!')
+        if self.elsewhere is None:
+            raise TProtocolException(message='Required field elsewhere is unset!')
         return
 
     def __repr__(self):
@@ -1037,6 +1051,7 @@
     (4, TType.I32, 'retry_ms', None, None, ),  # 4
     (5, TType.BOOL, 'scarce', None, None, ),  # 5
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.BOOL, 'elsewhere', None, None, ),  # 7
 )
 all_structs.append(Quota)
 Quota.thrift_spec = (
--- a/marigoldwalk/wire/gossip.thrift
+++ b/marigoldwalk/wire/gossip.thrift
@@ -74,6 +74,8 @@
   5: required bool scarce
   /** Whether the daemon is leaving, or has just started, and the next one should be asked. */
   6: required bool leaving
+  /** Whether other daemons hold the quota, as far as the sender knows. */
+  7: required bool elsewhere
 }
 
 /** The part of a datagram that concerns the quotas of workspaces. */
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -32,7 +32,7 @@
 WORKSPACE = Workspace("w-1", rate_per_s=1.0, burst=2.0)
 MESSAGES = [
     QuotaMessage("m-1", ask=QuotaAsk(7, "w-1", 3, 0.5, 2.0, -1, True, True)),
-    QuotaMessage("m-1", answer=QuotaAnswer(7, False, 1.25, 2.5, True, True)),
+    QuotaMessage("m-1", answer=QuotaAnswer(7, False, 1.25, 2.5, True, True, True)),
     QuotaMessage("m-1", scarce="w-1"),
 ]
 
--- a/tests/routing/test_quotas.py
+++ b/tests/routing/test_quotas.py
@@ -134,6 +134,19 @@
     assert fleet.holders[0] is holder
 
 
+def test_bound_holds_when_all_daemons_are_killed_and_start_together():
+    workspace = make_workspace(8.0, 4.0)
+    fleet = QuotaFleet(67, workspace)
+    start = fleet.now
+    ask_for(fleet, 60.0, 0.0, 20.0, 0.0)
+    for daemon in fleet.daemons:
+        fleet.at(start + 8.0, fleet.kill, daemon)
+        fleet.at(start + fleet.random.uniform(9.0, 11.0), daemon.start)
+    fleet.run(start + 21.0)
+    assert fleet.max_in_window() <= fleet.bound(workspace)
+    assert admitted_between(fleet, start + 12.0, start + 20.0) == pytest.approx(64, rel=0.25)
+
+
 def test_refused_callers_find_room_when_they_come_back():
     fleet = QuotaFleet(30, make_workspace(5.0, 1.0))
     start = fleet.now
