--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -6,10 +6,10 @@
 
 import bottle
 from prometheus_client import CONTENT_TYPE_LATEST
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from ..daemon.error_responses import error_response, unhandled_error_response
-from ..errors import Code
+from ..errors import Code, RefusalReason
 from ..metrics.export import PREFIX, counter_families, make_registry, render
 
 if TYPE_CHECKING:
@@ -46,6 +46,7 @@
         self._membership = membership
         self._delegation = delegation
         self._quotas = quotas
+        self._recorder = recorder
         self._registry = make_registry(recorder, self._metric_families)
 
     def _status(self) -> dict[str, Any]:
@@ -67,24 +68,28 @@
                 for row in self._membership.rows()
             ],
             "carriers": sorted(self._delegation.delegates),
+            "news_age_s": round(now - catalog.confirmed_at, 2) if catalog.config else None,
             "workspaces": [
-                self._describe_quota(workspace, now)
+                self._describe_workspace(workspace, now)
                 for workspace in (catalog.config.workspaces if catalog.config else ())
             ],
         }
 
-    def _describe_quota(self, workspace: Workspace, now: float) -> dict[str, Any]:
-        """Return the quota of a workspace and what this daemon knows of its use."""
+    def _describe_workspace(self, workspace: Workspace, now: float) -> dict[str, Any]:
+        """Return the configuration of a workspace and what this daemon knows of its quota."""
         state = self._quotas.states.get(workspace.name)
         bucket = self._quotas.buckets.get(workspace.name)
+        refused = (workspace.name, RefusalReason.OVER_QUOTA.value)
         return {
             "name": workspace.name,
+            "keys": len(workspace.key_digests),
+            "priority": workspace.priority,
             "rate_per_s": workspace.rate_per_s,
             "burst": workspace.burst,
             "holders": self._quotas.holder_names(workspace.name, now),
             "left": round(bucket.tokens, 2) if bucket is not None else None,
             "scarce": state is not None and now < state.scarce_until,
-            "refused": self._world.counters[f"quota_refused.{workspace.name}"],
+            "over_quota": self._recorder.workspace_refusals[refused],
         }
 
     def _explain(self, route: str) -> bottle.HTTPResponse:
@@ -102,6 +107,7 @@
             {
                 "route": route_config.name,
                 "idempotent": route_config.idempotent,
+                "needs_key": bool(catalog.config.workspaces) and not route_config.is_public,
                 "target_ms": route_config.target_s * 1000,
                 "max_attempts": route_config.max_attempts,
                 "servers": rows,
@@ -150,6 +156,14 @@
             "Servers that took no connection since the last one that did",
             reachability.unopened_count,
         )
+        refusals = CounterMetricFamily(
+            f"{PREFIX}_workspace_refusal",
+            "Requests of a workspace that were refused or failed",
+            labels=["workspace", "reason"],
+        )
+        for labels, count in sorted(self._recorder.workspace_refusals.items()):
+            refusals.add_metric(labels, count)
+        yield refusals
         yield _gauge("timer_lag_seconds", "How late due answers have left", world.answer_lag.lag_s)
 
 
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -201,6 +201,7 @@
             r.cores,
             r.is_leaving,
             r.is_isolated,
+            r.is_turned_away,
         )
         for r in reports
     ]
@@ -227,6 +228,7 @@
                 m.cores,
                 m.leaving,
                 m.isolated,
+                m.turned_away,
             )
             for m in gossip.members
             if _is_complete(m)
--- a/marigoldwalk/gateway/quota_exchange.py
+++ b/marigoldwalk/gateway/quota_exchange.py
@@ -71,7 +71,7 @@
         now = self._now()
         decision = self._quotas.decide(workspace, now)
         if decision is QuotaDecision.REFUSE:
-            return self._refuse(workspace, self._quotas.retry_s(workspace, now))
+            return self._refuse(self._quotas.retry_s(workspace, now))
         if decision is QuotaDecision.ADMIT:
             self._counters["quota.admitted"] += 1
             steps = self._quotas.ask(workspace, now, is_admitted=True)
@@ -83,9 +83,9 @@
         if answer is None:
             room_s = self._quotas.use_share(workspace, self._now())
             self._counters["quota.own_share"] += 1
-            return None if room_s is None else self._refuse(workspace, room_s)
+            return None if room_s is None else self._refuse(room_s)
         if not answer.is_granted:
-            return self._refuse(workspace, answer.retry_s)
+            return self._refuse(answer.retry_s)
         self._counters["quota.admitted"] += 1
         return None
 
@@ -162,9 +162,8 @@
         if self.send is not None:
             self.send(encode_quota(message), address)
 
-    def _refuse(self, workspace: Workspace, retry_s: float) -> ErrorAnswer:
+    def _refuse(self, retry_s: float) -> ErrorAnswer:
         self._counters["quota.refused"] += 1
-        self._counters[f"quota_refused.{workspace.name}"] += 1
         return ErrorAnswer(429, RefusalReason.OVER_QUOTA, retry_s)
 
 
