Simplify the hooks of quotas and reject impossible quotas in datagrams

Cause: a datagram with an infinite rate would have raised an error in the receiver; a late answer to a request that was taken back counted as one that was granted. Change: such datagrams are malformed, and only late answers about admitted requests are used; numbers of asks differ between processes.

--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -120,7 +120,6 @@
             now,
             counters,
             self._on_members_changed,
-            self._quotas,
             quota_exchange,
         )
         self._on_members_changed()
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -24,7 +24,6 @@
     from collections.abc import Callable, Sequence
 
     from ..routing.membership import Membership
-    from ..routing.quotas import WorkspaceQuotas
     from ..routing.suspects import Suspects
     from .quota_exchange import QuotaExchange
 
@@ -55,10 +54,8 @@
         now: Callable[[], float],
         counters: Counter[str],
         on_change: Callable[[], None],
-        quotas: WorkspaceQuotas | None = None,
         quota_exchange: QuotaExchange | None = None,
     ) -> None:
-        self._quotas = quotas
         self._quota_exchange = quota_exchange
         self._membership = membership
         self._suspects = suspects
@@ -138,10 +135,8 @@
                 self._counters["gossip.malformed"] += 1
                 continue
             now = self._now()
-            self._record_heard(message, now)
+            self._receive_quota(message, Address(*source), now)
             if message.quota is not None:
-                if self._quota_exchange is not None:
-                    self._quota_exchange.receive(message.quota, Address(*source))
                 continue
             self._merge_evidence(message, now)
             if self._membership.merge(message.reports, now):
@@ -149,12 +144,14 @@
                 self._send(answer, message.reports[0].address)
             self._report_members()
 
-    def _record_heard(self, message: GossipMessage, now: float) -> None:
-        sender = message.reports[0].name if message.reports else ""
+    def _receive_quota(self, message: GossipMessage, source: Address, now: float) -> None:
+        if self._quota_exchange is None:
+            return
         if message.quota is not None:
-            sender = message.quota.sender
-        if self._quotas is not None and sender:
-            self._quotas.heard(sender, now)
+            self._quota_exchange.heard(message.quota.sender, now)
+            self._quota_exchange.receive(message.quota, source)
+        elif message.reports:
+            self._quota_exchange.heard(message.reports[0].name, now)
 
     def _merge_evidence(self, message: GossipMessage, now: float) -> None:
         for fingerprint in self._suspects.merge(message.evidence, now):
--- a/marigoldwalk/gateway/quota_exchange.py
+++ b/marigoldwalk/gateway/quota_exchange.py
@@ -23,7 +23,7 @@
     from ..routing.membership import Membership
     from ..routing.model import Workspace
     from ..routing.quota_buckets import QuotaAnswer
-    from ..routing.quotas import QuotaSteps, WorkspaceQuotas
+    from ..routing.quotas import QuotaQuery, QuotaSteps, WorkspaceQuotas
 
 logger = logging.getLogger(__name__)
 
@@ -77,15 +77,20 @@
             steps = self._quotas.ask(workspace, now, is_admitted=True)
             gevent.spawn(self._run, workspace, steps, REPORT_TIMEOUT_S)
             return None
-        self._counters["quota.asked"] += 1
         timeout_s = min(MAX_WAIT_S, WAIT_SHARE * exchange.route.target_s)
+        return self._ask_first(workspace, timeout_s)
+
+    def _ask_first(self, workspace: Workspace, timeout_s: float) -> ErrorAnswer | None:
+        self._counters["quota.asked"] += 1
+        now = self._now()
         answer = self._run(workspace, self._quotas.ask(workspace, now), timeout_s)
         if answer is None:
-            room_s = self._quotas.use_share(workspace, self._now())
             self._counters["quota.own_share"] += 1
-            return None if room_s is None else self._refuse(room_s)
-        if not answer.is_granted:
-            return self._refuse(answer.retry_s)
+            retry_s = self._quotas.use_share(workspace, self._now())
+        else:
+            retry_s = None if answer.is_granted else answer.retry_s
+        if retry_s is not None:
+            return self._refuse(retry_s)
         self._counters["quota.admitted"] += 1
         return None
 
@@ -98,6 +103,10 @@
         steps = self._quotas.ask(workspace, self._now(), count=-1, is_admitted=True)
         gevent.spawn(self._run, workspace, steps, REPORT_TIMEOUT_S)
 
+    def heard(self, sender: str, now: float) -> None:
+        """Record a datagram of any kind from another daemon."""
+        self._quotas.heard(sender, now)
+
     def receive(self, message: QuotaMessage, sender: Address) -> None:
         """Handle a datagram about quotas."""
         now = self._now()
@@ -134,18 +143,19 @@
                 answer = _wait(waiting, timeout_s)
                 del self._waiting[number]
                 if answer is None:
-                    self._record_unanswered(workspace, query.holder, number)
+                    self._record_unanswered(workspace, query)
                 query = steps.send((answer, self._now()))
         except StopIteration as end:
             self._send_notice_if_due(workspace.name)
             return end.value
 
-    def _record_unanswered(self, workspace: Workspace, holder: str, number: int) -> None:
+    def _record_unanswered(self, workspace: Workspace, query: QuotaQuery) -> None:
         self._counters["quota.unanswered"] += 1
-        self._late[number] = workspace
-        if len(self._late) > MAX_LATE:
-            self._late.popitem(last=False)
-        fields = {"workspace": workspace.name, "holder": holder}
+        if query.ask.count > 0:
+            self._late[query.ask.number] = workspace
+            if len(self._late) > MAX_LATE:
+                self._late.popitem(last=False)
+        fields = {"workspace": workspace.name, "holder": query.holder}
         logger.info("no answer about a quota in time", extra={"fields": fields})
 
     def _send_notice_if_due(self, workspace: str) -> None:
--- a/marigoldwalk/gateway/quota_messages.py
+++ b/marigoldwalk/gateway/quota_messages.py
@@ -74,7 +74,8 @@
 
 def _decode_ask(record: ttypes.QuotaAsk) -> QuotaAsk:
     record.validate()
-    if not (record.rate_per_s > 0 and record.burst >= 0 and -1 <= record.count <= 1):
+    is_valid = 0 < record.rate_per_s < math.inf and 0 <= record.burst < math.inf
+    if not is_valid or not -1 <= record.count <= 1:
         raise ValueError("the quota or the number of requests is out of range")
     return QuotaAsk(
         record.number,
--- a/marigoldwalk/routing/quotas.py
+++ b/marigoldwalk/routing/quotas.py
@@ -118,7 +118,8 @@
         self._probes: list[tuple[Workspace, str]] = []
         self._noticed_at: dict[str, float] = {}
         self._known_candidates: tuple[str, ...] = ()
-        self._numbers = itertools.count(1)
+        # Answers to the previous process must not be taken for answers to this one.
+        self._numbers = itertools.count(membership.own.incarnation)
 
     def decide(self, workspace: Workspace, now: float) -> QuotaDecision:
         """Decide about a request of *workspace* from what is known without asking."""
--- a/tests/gateway/test_quota_exchange.py
+++ b/tests/gateway/test_quota_exchange.py
@@ -56,7 +56,6 @@
             clock.now,
             self.counters,
             lambda: None,
-            self.quotas,
             self.exchange,
         )
         address = Address(*self.transport.address)
@@ -104,6 +103,11 @@
     decode(bytes(data))
 
 
+@pytest.mark.parametrize("rate", [0.0, -1.0, float("nan"), float("inf")])
+def test_ask_with_an_impossible_rate_is_malformed(rate):
+    assert decode(encode_quota(QuotaMessage("m-1", ask=QuotaAsk(7, "w-1", 3, rate, 2.0)))) is None
+
+
 def test_daemons_admit_no_more_than_the_quota_together(nodes):
     refusals = []
     for number in range(60):
