--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -9,7 +9,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from ..daemon.error_responses import error_response, unhandled_error_response
-from ..errors import Code
+from ..errors import Code, RefusalReason
 from ..metrics.export import PREFIX, counter_families, make_registry, render
 from .config_dump import dump_config
 
@@ -21,6 +21,8 @@
     from ..metrics.recorder import Recorder
     from ..routing.delegation import Delegation
     from ..routing.membership import Membership
+    from ..routing.model import Workspace
+    from ..routing.quotas import WorkspaceQuotas
     from ..routing.tables import ServerRow
     from ..routing.world import RoutingWorld
 
@@ -34,6 +36,7 @@
         membership: Membership,
         delegation: Delegation,
         recorder: Recorder,
+        quotas: WorkspaceQuotas,
     ) -> None:
         self.app = bottle.Bottle()
         self.app.route("/status", "GET", self._status)
@@ -44,6 +47,7 @@
         self._world = world
         self._membership = membership
         self._delegation = delegation
+        self._quotas = quotas
         self._recorder = recorder
         self._registry = make_registry(recorder, self._metric_families)
 
@@ -68,17 +72,28 @@
             "carriers": sorted(self._delegation.delegates),
             "news_age_s": round(now - catalog.confirmed_at, 2) if catalog.config else None,
             "workspaces": [
-                {
-                    "name": workspace.name,
-                    "keys": len(workspace.key_digests),
-                    "priority": workspace.priority,
-                    "rate_per_s": workspace.rate_per_s,
-                    "burst": workspace.burst,
-                }
+                self._describe_workspace(workspace, now)
                 for workspace in (catalog.config.workspaces if catalog.config else ())
             ],
         }
 
+    def _describe_workspace(self, workspace: Workspace, now: float) -> dict[str, Any]:
+        """Return the configuration of a workspace and what this daemon knows of its quota."""
+        state = self._quotas.states.get(workspace.name)
+        bucket = self._quotas.buckets.get(workspace.name)
+        refused = (workspace.name, RefusalReason.OVER_QUOTA.value)
+        return {
+            "name": workspace.name,
+            "keys": len(workspace.key_digests),
+            "priority": workspace.priority,
+            "rate_per_s": workspace.rate_per_s,
+            "burst": workspace.burst,
+            "holders": self._quotas.holder_names(workspace.name, now),
+            "left": round(bucket.tokens, 2) if bucket is not None else None,
+            "scarce": state is not None and now < state.scarce_until,
+            "over_quota": self._recorder.workspace_refusals[refused],
+        }
+
     def _explain(self, route: str) -> bottle.HTTPResponse:
         catalog = self._world.catalog
         routes = catalog.config.routes if catalog.config else ()
--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -17,6 +17,7 @@
 from ..routing.membership import MemberReport
 from ..routing.suspects import Crash, Evidence
 from ..wire.gen.gossip import ttypes
+from .quota_messages import QuotaMessage, decode_quota
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -24,6 +25,7 @@
 
     from ..routing.membership import Membership
     from ..routing.suspects import Suspects
+    from .quota_exchange import QuotaExchange
 
 logger = logging.getLogger(__name__)
 
@@ -52,7 +54,9 @@
         now: Callable[[], float],
         counters: Counter[str],
         on_change: Callable[[], None],
+        quota_exchange: QuotaExchange | None = None,
     ) -> None:
+        self._quota_exchange = quota_exchange
         self._membership = membership
         self._suspects = suspects
         self._now = now
@@ -62,6 +66,8 @@
         self._sock.bind((listen_address.host, listen_address.port))
         self._greenlets: list[gevent.Greenlet] = []
         self._known_count = 0
+        if quota_exchange is not None:
+            quota_exchange.send = self._send
 
     @property
     def address(self) -> tuple[str, int]:
@@ -118,7 +124,7 @@
     def _receive(self) -> None:
         while True:
             try:
-                datagram, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                datagram, source = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 # The error may be due to a datagram of our own that was refused; keep receiving.
                 self._counters["gossip.unreceived"] += 1
@@ -129,12 +135,24 @@
                 self._counters["gossip.malformed"] += 1
                 continue
             now = self._now()
+            self._receive_quota(message, Address(*source), now)
+            if message.quota is not None:
+                continue
             self._merge_evidence(message, now)
             if self._membership.merge(message.reports, now):
                 answer = encode(self._membership.reports(now), self._suspects.evidence(now))
                 self._send(answer, message.reports[0].address)
             self._report_members()
 
+    def _receive_quota(self, message: GossipMessage, source: Address, now: float) -> None:
+        if self._quota_exchange is None:
+            return
+        if message.quota is not None:
+            self._quota_exchange.heard(message.quota.sender, now)
+            self._quota_exchange.receive(message.quota, source)
+        elif message.reports:
+            self._quota_exchange.heard(message.reports[0].name, now)
+
     def _merge_evidence(self, message: GossipMessage, now: float) -> None:
         for fingerprint in self._suspects.merge(message.evidence, now):
             self._counters["suspect.received"] += 1
@@ -163,6 +181,8 @@
     reports: tuple[MemberReport, ...]
     """Reports on members, the sender's own first."""
     evidence: tuple[Evidence, ...]
+    quota: QuotaMessage | None = None
+    """A message about a quota, in datagrams that have nothing else."""
 
 
 def encode(reports: Sequence[MemberReport], evidence: Sequence[Evidence]) -> bytes:
@@ -211,10 +231,11 @@
             if _is_complete(m)
         ]
         evidence = [_decode_evidence(e) for e in gossip.evidence]
+        quota = decode_quota(gossip.quota)
     except Exception as exc:  # noqa: BLE001 (thrift raises many kinds on malformed bytes)
         logger.debug("invalid gossip datagram: %r", exc)
         return None
-    return GossipMessage(tuple(reports), tuple(evidence))
+    return GossipMessage(tuple(reports), tuple(evidence), quota)
 
 
 def _encode_evidence(evidence: Evidence) -> ttypes.Evidence:
