Find the pace of servers that start or recover from their answers

Cause: a started server counted as three usual latencies slower for its cold time and was idle; a server whose outage ended got its full load at once. Change: a level for each server and daemon, raised by good answers and reduced by sheds, failures, resets and slow answers, decides which part of its requests it gets.

--- a/marigoldwalk/gateway/admin.py
+++ b/marigoldwalk/gateway/admin.py
@@ -96,6 +96,7 @@
             "draining": registration.draining,
             "excluded": registration.domain in self._world.catalog.excluded_domains,
             "limit_per_s": row.rate_limit.per_s if row.rate_limit is not None else None,
+            "pace": round(row.pace.level(now), 2),
             "cold_s": round(max(0.0, row.cold_until - now), 2),
             "relative_latency": round(row.relative_latency(now), 2),
             "recent_failures": round(row.recent_failures(now), 2),
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -156,6 +156,7 @@
         )
         if senders != world.senders:
             world.senders = senders
+            world.catalog.daemon_name = senders.own
         world.shard_share = self.delegation.shard_share
         world.is_delegate = self.delegation.is_delegate
 
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .matching import RouteIndex
+from .pace import phase_of
 from .tables import ServerRow
 
 if TYPE_CHECKING:
@@ -35,6 +36,8 @@
 
     def __init__(self) -> None:
         self.config: RoutingConfig | None = None
+        self.daemon_name = ""
+        """The name of this daemon, which spreads the daemons' first requests to a server."""
         self.rows: dict[str, ServerRow] = {}
         self.excluded_domains: frozenset[str] = frozenset()
         self.shards: frozenset[str] = frozenset()
@@ -160,6 +163,7 @@
         return not registration.draining and registration.domain not in self.excluded_domains
 
     def _replace(self, new: Registration, now: float) -> None:
+        known = self.rows.get(new.server_id)
         self.remove(new.server_id)
         row = ServerRow(new, cold_until=now + new.cold_left_s)
         departed = self._departed.pop(new.server_id, None)
@@ -168,15 +172,28 @@
             row.leaving_at = departed.leaving_at
             row.paused_until = departed.paused_until
             row.rate_limit = departed.rate_limit
+        if known is not None or new.cold_left_s > 0:
+            self._begin_pace(row, now)
         self.rows[new.server_id] = row
         self._by_service.setdefault(new.service, []).append(row)
 
     def _update(self, row: ServerRow, new: Registration, now: float) -> None:
         if new.cold_left_s != row.registration.cold_left_s:
             row.cold_until = now + new.cold_left_s
+            if new.cold_left_s > row.registration.cold_left_s:
+                self._begin_pace(row, now)
         row.registration = new
         row.drop_at = None
 
+    def _begin_pace(self, row: ServerRow, now: float) -> None:
+        """Let a server that has started or become cold again get few requests at first.
+
+        A service that states a rate for cold servers says itself what they bear.
+        """
+        service = self.service(row.registration.service)
+        if service is None or service.cold_per_s <= 0:
+            row.pace.begin(now, phase_of(self.daemon_name, row.server_id))
+
 
 def _top_priorities(routes: Iterable[Route]) -> dict[str, int]:
     priorities: dict[str, int] = {}
--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -7,6 +7,7 @@
 
 from .admission import record_shed, record_wait
 from .exchanges import LossReason, LostAttempt
+from .pace import record_failure, record_outage, record_success
 from .sending import release, retry
 from .server_limits import record_limit
 from .suspects import crash_of
@@ -68,17 +69,21 @@
     _record_reachability(world, row, lost)
     if lost.reason in _NOT_CONNECTED:
         row.record_unreachable(world.now)
+        record_outage(world, row)
         _record_crashes(world, row.server_id)
     elif lost.reason is LossReason.CRASHED:
         row.record_failure(world.now)
         row.record_unreachable(world.now)
+        record_outage(world, row)
         _record_loss(world, attempt)
         _record_crashes(world, row.server_id)
     elif lost.reason is LossReason.CLOSED and lost.may_have_run:
         row.record_failure(world.now)
+        record_failure(world, row, "reset")
         _record_loss(world, attempt)
     elif lost.reason is not LossReason.ABANDONED:
         row.record_failure(world.now)
+        record_failure(world, row, lost.reason.value)
     task = attempt.task
     if not lost.may_have_run:
         task.record_not_run(row.server_id)
@@ -146,17 +151,21 @@
         row.record_latency(ratio, attempt.sent_at, world.now)
         row.record_success(world.now)
         usual.record(latency_s)
+        record_success(world, row, ratio, attempt.sent_at)
     elif reply.is_misdirected:
         world.counters["reply.other_server"] += 1
         row.record_unreachable(world.now)
         row.record_replaced(world.now)
+        record_outage(world, row)
     elif not reply.executed:
         world.counters["reply.shed"] += 1
         row.record_shed(world.now)
+        record_failure(world, row, "shed")
         record_shed(world, attempt.task.exchange)
     else:
         world.counters["reply.failure"] += 1
         row.record_failure(world.now)
+        record_failure(world, row, "failure")
 
 
 def _record_notices(world: RoutingWorld, attempt: Attempt, reply: ServerReply) -> None:
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -3,6 +3,10 @@
 Load pattern: individual servers pause, become slow, fail part of their requests or restart cold
 while other servers of the service are healthy. The server with the shortest expected answer time is
 selected; the price of traffic between failure domains weighs less than any of these problems.
+
+A server that has started or recovered gets part of the requests for which it is the best choice,
+see :mod:`.pace`. For the others it counts as if it were cold, so it still gets them if every other
+server is missing, stalled or much slower.
 """
 
 from __future__ import annotations
@@ -22,7 +26,7 @@
 STALL_FACTOR = 8.0
 """Cost of a server with an overdue answer or in backoff, in usual latencies."""
 COLD_FACTOR = 3.0
-"""Cost of a cold server, which is slower, in usual latencies."""
+"""Cost of a cold server, or of one that is not due by its pace, in usual latencies."""
 FAILURE_FACTOR = 4.0
 """Cost of each recent failure of a server, in usual latencies."""
 QUEUE_FACTOR = 1.0
@@ -76,6 +80,8 @@
     """
     best: ServerRow | None = None
     best_cost = 0.0
+    skipped: ServerRow | None = None
+    skipped_cost = 0.0
     refusal = UNREGISTERED
     for row in rows:
         if row.server_id in tried:
@@ -85,8 +91,14 @@
             refusal = ALL_BUSY
             continue
         cost = cost_of(row, own_domain, now, is_pessimistic)
+        if row.pace.is_begun and not row.pace.is_due(now):
+            if skipped is None or cost < skipped_cost:
+                skipped, skipped_cost = row, cost
+            cost += COLD_FACTOR
         if best is None or cost < best_cost:
             best, best_cost = row, cost
+    if skipped is not None and skipped is not best and skipped_cost < best_cost:
+        skipped.pace.record_skip(now)
     return best or refusal
 
 
@@ -98,7 +110,7 @@
         cost *= REMOTE_FACTOR
     if row.idle_connections == 0:
         cost += CONNECT_FACTOR
-    if row.cold_until > now:
+    if row.cold_until > now and not row.pace.is_begun:
         cost += COLD_FACTOR
     if row.failures:
         cost += FAILURE_FACTOR * row.recent_failures(now)
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -312,6 +312,7 @@
     attempt = Attempt(world.next_attempt_number(), task, row, world.now, is_trial)
     world.cold.record(row, world.now)
     record_send(world, row)
+    row.pace.record_send(world.now)
     is_local = row.registration.domain == world.domain
     world.counters["send.own_domain" if is_local else "send.other_domain"] += 1
     task.sends += 1
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .pace import Pace
+
 if TYPE_CHECKING:
     from ..config.view import Address
     from .model import Registration
@@ -65,6 +67,7 @@
     """Time until which the server has asked this daemon for no requests."""
     rate_limit: RateLimit | None = None
     """The limit that the server stated in its last reply, if any."""
+    pace: Pace = field(default_factory=Pace)
     replaced_until: float = 0.0
     """Time until which the server counts as gone, since its address belongs to another one."""
 
@@ -139,6 +142,7 @@
         self.latency_ratios.clear()
         self.lowest_ratios = (1.0, 1.0)
         self.latency_ratio = 1.0
+        self.pace = Pace()
 
     def record_leaving(self, now: float) -> bool:
         """Record that the server is leaving; return whether that is new."""
