Spread the first requests to a returning server over the daemons

Cause: with few requests each, no daemon sent its first request to a returning server, 0.00 of the load of 44 daemons with a request each 10 s for 3 s. Change: the credit counts the current request; it begins at a phase of each daemon, after outages too.

--- a/marigoldwalk/routing/pace.py
+++ b/marigoldwalk/routing/pace.py
@@ -86,7 +86,7 @@
     threshold: float = FULL
     """Level above which it grows by steps."""
     credit: float = 0.0
-    """Requests that may be sent now: each skipped request adds the level, each send takes one."""
+    """What skipped requests have saved up. Each request adds the level, and each send takes one."""
     is_begun: bool = False
     """Whether the server has started or recovered as far as this daemon knows."""
     reported_at: float = float("-inf")
@@ -117,17 +117,17 @@
 
     def is_due(self, now: float) -> bool:
         """Return whether the server may get the next request that would be sent there by cost."""
-        return self.credit >= 1.0 or self.level(now) >= FULL
+        return self.credit + self.level(now) >= FULL
 
     def record_skip(self, now: float) -> None:
         """Record that a request went elsewhere only because the server was not due."""
-        self.credit = min(1.0, self.credit + self.level(now))
+        self.credit = min(FULL, self.credit + self.level(now))
 
     def record_send(self, now: float) -> None:
         """Record a request that is sent to the server."""
         level = self.level(now)
         if level < FULL:
-            self.credit = max(0.0, self.credit - 1.0 + level)
+            self.credit = max(0.0, self.credit + level - FULL)
 
     def record_good(self, sent_at: float, now: float) -> bool:
         """Record a good answer; return whether the level reached :data:`FULL` with it.
@@ -142,7 +142,7 @@
             level = doubled if doubled > level else level + GROWTH_STEP
             self._level = min(FULL, level)
             self.changed_at = now
-            self.credit = 1.0
+            self.credit = max(0.0, FULL - level)
         if level < FULL:
             return False
         self._level = self.threshold = FULL
@@ -158,10 +158,11 @@
         self._reduce(min(reduced, INITIAL_LEVEL) if level >= FULL else reduced, level, now)
         return level >= FULL
 
-    def record_outage(self, now: float, until: float) -> bool:
-        """Return to the initial level until *until*; return whether it was the full one."""
+    def record_outage(self, now: float, until: float, phase: float) -> bool:
+        """Begin again at *until* after an outage; return whether the level was the full one."""
         level = self.level(now)
         self._reduce(min(level, INITIAL_LEVEL), level, until)
+        self.credit = phase
         return level >= FULL
 
     def _reduce(self, reduced: float, level: float, changed_at: float) -> None:
@@ -169,7 +170,7 @@
         self.threshold = max(INITIAL_LEVEL, min(self.threshold, level * REDUCTION_FACTOR))
         self._level = reduced
         self.changed_at = changed_at
-        self.credit = min(self.credit, FULL - reduced)
+        self.credit = 0.0
 
 
 def phase_of(daemon: str, server_id: str) -> float:
@@ -203,7 +204,8 @@
     has come back, while the backoff and the level already keep requests away from it.
     """
     row.failures = 0.0
-    was_full = row.pace.record_outage(world.now, row.backoff_until)
+    phase = phase_of(world.senders.own, row.server_id)
+    was_full = row.pace.record_outage(world.now, row.backoff_until, phase)
     _reduce(world, row, "unreachable", was_full)
 
 
