--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -163,7 +163,6 @@
         return not registration.draining and registration.domain not in self.excluded_domains
 
     def _replace(self, new: Registration, now: float) -> None:
-        known = self.rows.get(new.server_id)
         self.remove(new.server_id)
         row = ServerRow(new, cold_until=now + new.cold_left_s)
         departed = self._departed.pop(new.server_id, None)
@@ -172,8 +171,9 @@
             row.leaving_at = departed.leaving_at
             row.paused_until = departed.paused_until
             row.rate_limit = departed.rate_limit
-        if known is not None or new.cold_left_s > 0:
-            self._begin_pace(row, now)
+            row.pace = departed.pace
+        elif departed is not None or new.cold_left_s > 0:
+            self._begin_pace(row, now, departed)
         self.rows[new.server_id] = row
         self._by_service.setdefault(new.service, []).append(row)
 
@@ -181,15 +181,18 @@
         if new.cold_left_s != row.registration.cold_left_s:
             row.cold_until = now + new.cold_left_s
             if new.cold_left_s > row.registration.cold_left_s:
-                self._begin_pace(row, now)
+                self._begin_pace(row, now, row)
         row.registration = new
         row.drop_at = None
 
-    def _begin_pace(self, row: ServerRow, now: float) -> None:
+    def _begin_pace(self, row: ServerRow, now: float, earlier: ServerRow | None) -> None:
         """Let a server that has started or become cold again get few requests at first.
 
-        A service that states a rate for cold servers says itself what they bear.
+        What *earlier*, its state before that, says about the load it bears still holds. A service
+        that states a rate for cold servers says itself what they bear.
         """
+        if earlier is not None:
+            row.pace.threshold = earlier.pace.threshold
         service = self.service(row.registration.service)
         if service is None or service.cold_per_s <= 0:
             row.pace.begin(now, phase_of(self.daemon_name, row.server_id))
--- a/marigoldwalk/routing/placement.py
+++ b/marigoldwalk/routing/placement.py
@@ -97,7 +97,8 @@
             cost += COLD_FACTOR
         if best is None or cost < best_cost:
             best, best_cost = row, cost
-    if skipped is not None and skipped is not best and skipped_cost < best_cost:
+    is_skipped = skipped is not None and skipped is not best and skipped_cost < best_cost
+    if is_skipped and not is_pessimistic:
         skipped.pace.record_skip(now)
     return best or refusal
 
--- a/tests/gateway/test_admin.py
+++ b/tests/gateway/test_admin.py
@@ -33,6 +33,7 @@
     assert 'marigoldwalk_latency_seconds_count{group="r-one"} 1.0' in text
     assert (status["name"], status["version"], status["servers"]) == ("g-1", 1, 1)
     assert route["servers"][0]["server"] == "i-1"
+    assert route["servers"][0]["pace"] == 1.0
     assert missing.status == 404
 
 
--- a/tests/routing/test_pace.py
+++ b/tests/routing/test_pace.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from marigoldwalk.routing.exchanges import ForwardedAnswer, LossReason, LostAttempt
+from marigoldwalk.routing.exchanges import ForwardedAnswer, LossReason, LostAttempt, ServerReply
 from marigoldwalk.routing.pace import FULL, INITIAL_LEVEL, Pace, phase_of
 from marigoldwalk.routing.placement import choose_server
 
@@ -17,6 +17,7 @@
 INTERVAL_S = 0.02
 """Time between two requests, 50 a second."""
 GARBLED = LostAttempt(LossReason.MALFORMED, may_have_run=True)
+MISDIRECTED = ServerReply(421, (), b"", "", executed=False, is_misdirected=True)
 FAILED = server_reply(status=500, signature="")
 
 
@@ -312,3 +313,57 @@
     assert sum(first) <= max(2, 0.5 * len(first))
     assert sum(later) >= 0.9 * len(later)
     assert not any(daemon.unserved for daemon in daemons)
+
+
+def test_a_server_that_restarts_under_its_id_grows_by_steps_where_it_had_failed():
+    servers = Servers()
+    servers.world.catalog.rows["near"].pace.record_outage(servers.now, servers.now, phase=0.5)
+    servers.restart()
+    restarted = servers.world.catalog.rows["near"].pace
+    assert (restarted.level(servers.now), restarted.threshold) == (INITIAL_LEVEL, 0.5)
+
+
+def test_a_server_that_takes_the_address_of_another_one_begins_low():
+    servers = Servers()
+    near = servers.world.catalog.rows["near"]
+    taken = registration("new", address=near.address, cold_left_s=3.0, started_at_ms=2000)
+    servers.world.catalog.apply_registration(taken, servers.now)
+    assert servers.level("new") == INITIAL_LEVEL
+    servers.scripts["near"].answers = [(0.001, MISDIRECTED)]
+    servers.load(INTERVAL_S)
+    assert servers.level("near") < FULL
+    assert not servers.unserved
+
+
+def test_checks_for_a_hedge_do_not_add_to_what_a_server_may_get():
+    servers = Servers()
+    servers.restart()
+    rows = servers.world.catalog.rows
+    rows["near"].pace.credit = 0.0
+    choose_server(rows.values(), "north", (), 3, servers.now, is_pessimistic=True)
+    assert rows["near"].pace.credit == 0.0
+    choose_server(rows.values(), "north", (), 3, servers.now)
+    assert rows["near"].pace.credit == INITIAL_LEVEL
+
+
+def test_a_daemon_that_reaches_its_servers_again_has_no_reduced_levels():
+    servers = Servers()
+    row = servers.world.catalog.rows["near"]
+    row.pace.record_outage(servers.now, servers.now + 2.0, phase=0.5)
+    row.forget_failures()
+    assert servers.level() == FULL
+
+
+def test_reductions_are_logged_once_and_the_return_to_the_full_level_too(caplog):
+    server = FlappingServer()
+    servers = Servers(server)
+    servers.is_up = server.is_up
+    with caplog.at_level("INFO", logger="marigoldwalk.routing.pace"):
+        servers.load(3.0)
+        server.is_sound = True
+        servers.load(6.0)
+    paced = [record for record in caplog.records if record.name == "marigoldwalk.routing.pace"]
+    assert [record.message for record in paced] == [
+        "server gets a reduced pace",
+        "server has its full pace again",
+    ]
