Keep the failures of servers that do not respond at all

Cause: the failure count was dropped with each failed connection, also with those that time out, and an attempt at a server that is silent takes long. Change: it is dropped only if the server refuses connections.

--- a/marigoldwalk/routing/outcomes.py
+++ b/marigoldwalk/routing/outcomes.py
@@ -69,12 +69,12 @@
     _record_reachability(world, row, lost)
     if lost.reason in _NOT_CONNECTED:
         row.record_unreachable(world.now)
-        record_outage(world, row)
+        record_outage(world, row, lost.reason is LossReason.CONNECT_FAILED)
         _record_crashes(world, row.server_id)
     elif lost.reason is LossReason.CRASHED:
         row.record_failure(world.now)
         row.record_unreachable(world.now)
-        record_outage(world, row)
+        record_outage(world, row, is_refusing=True)
         _record_loss(world, attempt)
         _record_crashes(world, row.server_id)
     elif lost.reason is LossReason.CLOSED and lost.may_have_run:
--- a/marigoldwalk/routing/pace.py
+++ b/marigoldwalk/routing/pace.py
@@ -197,13 +197,15 @@
     _reduce(world, row, reason, row.pace.record_trouble(world.now))
 
 
-def record_outage(world: RoutingWorld, row: ServerRow) -> None:
-    """Record that the server refuses connections, after its backoff was set.
+def record_outage(world: RoutingWorld, row: ServerRow, is_refusing: bool = False) -> None:
+    """Record that the server cannot be used, after its backoff was set.
 
-    The failures of the outage are forgotten. They would keep the server idle for seconds after it
-    has come back, while the backoff and the level already keep requests away from it.
+    If it refuses connections, the failures of the outage are forgotten. They would keep it idle for
+    seconds after it has come back, while another refusal costs a request only a moment. Failures
+    of a server that does not respond at all are kept, since each attempt there takes long.
     """
-    row.failures = 0.0
+    if is_refusing:
+        row.failures = 0.0
     phase = phase_of(world.senders.own, row.server_id)
     was_full = row.pace.record_outage(world.now, row.backoff_until, phase)
     _reduce(world, row, "unreachable", was_full)
--- a/tests/routing/test_pace.py
+++ b/tests/routing/test_pace.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from marigoldwalk.routing.exchanges import ForwardedAnswer, LossReason, LostAttempt, ServerReply
+from marigoldwalk.routing.exchanges import (
+    Attempt,
+    ForwardedAnswer,
+    LossReason,
+    LostAttempt,
+    ServerReply,
+)
+from marigoldwalk.routing.outcomes import handle_loss
 from marigoldwalk.routing.pace import FULL, INITIAL_LEVEL, Pace, phase_of
 from marigoldwalk.routing.placement import choose_server
 
@@ -367,3 +374,18 @@
         "server gets a reduced pace",
         "server has its full pace again",
     ]
+
+
+@pytest.mark.parametrize(
+    ("reason", "expected"), [(LossReason.CONNECT_FAILED, 0.0), (LossReason.CONNECT_TIMEOUT, 3.0)]
+)
+def test_failures_are_forgotten_only_if_the_server_refuses_connections(reason, expected):
+    servers = Servers((0.01, LostAttempt(reason, may_have_run=False)))
+    row = servers.world.catalog.rows["near"]
+    row.failures, row.failures_at = 3.0, servers.now
+    (task,) = servers.ask(fingerprint="c-1").tasks
+    attempt = Attempt(999, task, row, servers.now)
+    servers.world.now = servers.now
+    handle_loss(servers.world, attempt, LostAttempt(reason, may_have_run=False))
+    assert row.recent_failures(servers.now) == expected
+    assert servers.level() == INITIAL_LEVEL
