Leave slots of shared servers to urgent queries while they are delayed

Cause: a server runs what it has in the order of arrival, and six delegates may each have three open attempts at its two slots. In a burst of all kinds, urgent tasks of 14 ms wait there behind tasks of 42 ms.

Change: while urgent queries come and their tasks are delayed, less urgent tasks that are long compared with the urgent target wait in the queues of the daemons, beyond the daemon's share of the slots.

--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -13,6 +13,7 @@
     ALL_STALLED,
     ALL_TRIED,
     BUDGET_SCARCE,
+    RESERVED,
     STALL_FACTOR,
     TOO_LATE,
     NoServer,
@@ -20,6 +21,7 @@
     cost_of,
 )
 from .server_limits import record_send
+from .slot_reserve import record_arrival, reserved_limit, yields
 from .tables import ServerRow
 
 if TYPE_CHECKING:
@@ -55,6 +57,7 @@
     Nothing is sent if too few tasks can be served or if the exchange is not admitted, so that a
     refusal is true and no server works in vain.
     """
+    record_arrival(world, exchange)
     choices = [_choose(world, task, task.avoided) for task in exchange.tasks]
     blocked = [chosen for chosen in choices if _is_blocked(world, exchange, chosen)]
     refusal = unservable_answer(exchange, blocked, world.now) or admit(world, exchange)
@@ -71,7 +74,7 @@
 
 def _is_blocked(world: RoutingWorld, exchange: Exchange, chosen: ServerRow | NoServer) -> bool:
     """Return whether no server will take a task in time."""
-    if isinstance(chosen, ServerRow) or chosen is ALL_BUSY:
+    if isinstance(chosen, ServerRow) or chosen in (ALL_BUSY, RESERVED):
         return False
     return not _resumes_in_time(world, exchange, chosen)
 
@@ -93,10 +96,10 @@
         _schedule_after_trial(world, task)
     elif isinstance(chosen, ServerRow):
         _send(world, task, chosen)
-    elif chosen is ALL_BUSY:
+    elif chosen in (ALL_BUSY, RESERVED):
         task.state = TaskState.WAITING
         world.queue(task.service).push(task)
-        world.counters["wait.all_busy"] += 1
+        world.counters[f"wait.{chosen.code}"] += 1
     elif chosen is ALL_TRIED and task.avoided - task.may_have_run_on:
         # Servers that refused it without executing it may accept it a little later.
         task.schedule_resend(world.now + RESEND_AFTER_S)
@@ -260,6 +263,10 @@
     if isinstance(rows, NoServer):
         return rows
     max_open_attempts = open_attempts_limit(world, task, rows[0].registration.slots)
+    if yields(world, task.exchange):
+        max_open_attempts = reserved_limit(world, task.service, rows, max_open_attempts)
+    if max_open_attempts == 0:
+        return RESERVED
     return choose_server(rows, world.domain, avoided, max_open_attempts, world.now, is_hedge)
 
 
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -16,6 +16,7 @@
 from .queueing import TaskQueue
 from .reachability import Reachability
 from .senders import Senders
+from .slot_reserve import SlotReserve
 from .splits import SplitChooser
 from .suspects import Suspects
 
@@ -76,6 +77,7 @@
         self.admission = Admission()
         self.is_delegate = False
         """Whether this daemon executes the fan-out queries of other daemons."""
+        self.slot_reserve = SlotReserve()
         self.answer_lag = AnswerLagTracker()
         self.catalog = Catalog()
         self.splits = SplitChooser()
--- a/tests/routing/fleet.py
+++ b/tests/routing/fleet.py
@@ -54,6 +54,8 @@
     outcome of an attempt, and ``is_listening`` whether it takes connections.
     """
 
+    step_s = STEP_S
+
     def __init__(self, routes, servers, domains, seed=1):
         self.servers = servers
         self.rng = random.Random(seed)
@@ -78,7 +80,7 @@
         end = self.now + for_s
         while self.now < end:
             for daemon in self.daemons:
-                daemon.run(STEP_S)
+                daemon.run(self.step_s)
             self._update_servers()
             self._gossip()
 
