Leave out less urgent exchanges in admission while they yield

Cause: less urgent exchanges fill the limit of open exchanges, so urgent ones are refused although the tasks of the less urgent ones wait for theirs.

Change: the limit does not count less urgent exchanges for urgent ones while they leave slots, unless they are starved; a starved priority that yields is admitted up to a quarter of the limit.

--- a/marigoldwalk/routing/admission.py
+++ b/marigoldwalk/routing/admission.py
@@ -8,12 +8,13 @@
 
 While the limit binds, the less urgent priorities are refused first, until they are admitted less
 than half as often as the most urgent one. Callers that come back after a refusal are admitted
-before new ones.
+before new ones. While tasks of a priority wait for more urgent ones (see :mod:`.slot_reserve`), its
+open exchanges do not count for the urgent ones.
 """
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,8 @@
 from .exchanges import ErrorAnswer
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from .exchanges import CallerRequest, Exchange
     from .model import Route
     from .world import RoutingWorld
@@ -63,6 +66,9 @@
 """Fraction of the limit that each lower priority leaves to the more urgent ones."""
 FAIR_SHARE = 0.5
 """Admission of a priority, relative to the most urgent one, below which it stops yielding."""
+STARVED_SHARE = 0.25
+"""Fraction of the limit up to which a priority that has stopped yielding is admitted whatever else
+is open."""
 COUNT_DECAY = 0.9
 """Factor on the counts of offered and admitted exchanges after each window."""
 MIN_RETRY_AFTER_S = 0.05
@@ -108,19 +114,27 @@
     _started_at: float = float("-inf")
     _ratios: list[float] = field(default_factory=list)
     _demand: dict[int, _Demand] = field(default_factory=dict)
+    _open: Counter[int] = field(default_factory=Counter)
+    """Open exchanges by priority."""
+
+    def admits(
+        self, priority: int, is_returning: bool, yielding: Collection[int] = frozenset()
+    ) -> bool:
+        """Return whether one more exchange is admitted, and count it as offered.
 
-    def admits(self, priority: int, is_returning: bool) -> bool:
-        """Return whether one more exchange is admitted, and count it as offered."""
+        *yielding* holds the priorities whose tasks leave slots to more urgent ones now.
+        """
         demand = self._demand.setdefault(priority, _Demand())
         demand.offered += 1
+        is_starved = self._is_starved(priority)
         share = 1.0 if is_returning else NEW_CALLER_SHARE
-        if not self._is_starved(priority):
+        if not is_starved:
             share -= YIELD_SHARE * sum(other < priority for other in self._demand)
-        is_admitted = self.open_count < max(MIN_LIMIT, self.limit * share)
-        if is_admitted:
-            demand.admitted += 1
-        else:
-            self._is_binding = True
+        is_admitted = self._open_ahead(priority, yielding) < max(MIN_LIMIT, self.limit * share)
+        if is_starved and priority in yielding:
+            is_admitted |= self._open[priority] < max(MIN_LIMIT, self.limit * STARVED_SHARE)
+        demand.admitted += is_admitted
+        self._is_binding |= not is_admitted
         return is_admitted
 
     @property
@@ -130,14 +144,16 @@
         admitted = sum(demand.admitted for demand in self._demand.values())
         return 1.0 - admitted / offered if offered else 0.0
 
-    def record_start(self) -> None:
+    def record_start(self, priority: int = 0) -> None:
         """Record an admitted exchange."""
         self.open_count += 1
+        self._open[priority] += 1
         self._peak = max(self._peak, self.open_count)
 
-    def record_end(self) -> None:
+    def record_end(self, priority: int = 0) -> None:
         """Record the end of an admitted exchange."""
         self.open_count -= 1
+        self._open[priority] -= 1
         self._ended_count += 1
 
     def record_wait(self, ratio: float, now: float) -> None:
@@ -181,7 +197,22 @@
             demand.offered *= COUNT_DECAY
             demand.admitted *= COUNT_DECAY
 
+    def _open_ahead(self, priority: int, yielding: Collection[int]) -> int:
+        """Return how many open exchanges are in the way of one more of *priority*.
+
+        Less urgent ones are not while their tasks wait for its tasks. They count once they are
+        starved, so that the urgent ones leave them a part of the limit.
+        """
+        behind = sum(
+            count
+            for other, count in self._open.items()
+            if other > priority and other in yielding and not self._is_starved(other)
+        )
+        return self.open_count - behind
+
     def _is_starved(self, priority: int) -> bool:
+        if priority not in self._demand:
+            return False
         most_urgent = self._demand[min(self._demand)].admitted_share
         return self._demand[priority].admitted_share < FAIR_SHARE * most_urgent
 
@@ -238,8 +269,9 @@
     route = exchange.route
     limit = world.admission.limit(tuple(task.service for task in exchange.tasks))
     is_returning = world.admission.is_returning(exchange.request, route)
-    if limit.admits(exchange.priority, is_returning):
-        limit.record_start()
+    yielding = world.slot_reserve.yielding_priorities(route, world.now)
+    if limit.admits(exchange.priority, is_returning, yielding):
+        limit.record_start(exchange.priority)
         exchange.limit = limit
         exchange.holds_place = True
         return None
@@ -283,7 +315,7 @@
     if not exchange.holds_place:
         return
     exchange.holds_place = False
-    exchange.limit.record_end()
+    exchange.limit.record_end(exchange.priority)
     for task in exchange.tasks:
         if not task.is_over:
             record_wait(world, exchange)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -183,3 +183,29 @@
             limit.record_wait(1.8, now)
         limit.record_end()
     assert limit.limit == INITIAL_LIMIT
+
+
+def test_open_exchanges_of_a_lower_priority_that_yield_do_not_take_the_places_of_urgent_ones():
+    limit = ConcurrencyLimit(limit=10.0)
+    for _ in range(10):
+        limit.admits(1, is_returning=False)
+        limit.record_start(1)
+    assert not limit.admits(0, is_returning=False)
+    assert limit.admits(0, is_returning=False, yielding={1})
+    limit.record_start(0)
+    assert not limit.admits(1, is_returning=True, yielding={1})
+
+
+def test_a_starved_priority_keeps_a_part_of_the_limit():
+    limit = ConcurrencyLimit(limit=4.0)
+    admitted = {0: 0, 1: 0}
+    is_open = []
+    for number in range(400):
+        priority = number % 2
+        if limit.admits(priority, is_returning=False, yielding={1}):
+            limit.record_start(priority)
+            admitted[priority] += 1
+            is_open.append(priority)
+        if number % 8 == 7 and is_open:
+            limit.record_end(is_open.pop(0))
+    assert admitted[0] > admitted[1] > 0.25 * admitted[0]
--- a/tests/routing/test_slot_reserve.py
+++ b/tests/routing/test_slot_reserve.py
@@ -32,6 +32,15 @@
     assert fleet.count("wait.reserved") > 0
 
 
+def test_urgent_queries_are_served_first_when_the_servers_cannot_run_all():
+    fleet = SharedShards()
+    fleet.offer({URGENT: 48, LONG: 144}, for_s=4.0)
+    assert fleet.share_in_time(URGENT) >= 0.9
+    assert fleet.refused_share(URGENT) <= 0.02
+    # The less urgent ones still get the rest of the slots.
+    assert fleet.share_in_time(LONG) >= 0.6
+
+
 def test_the_usual_load_is_sent_as_without_a_reserve():
     fleet = SharedShards()
     fleet.offer({URGENT: 6, LONG: 18}, for_s=4.0)
