Load fewer modules at the start of a daemon on the platform

Cause: loading modules is nearly all of a start, and callers wait for it.

The garbage collector rests while modules are loaded.

--- a/marigoldwalk/daemon/platform.py
+++ b/marigoldwalk/daemon/platform.py
@@ -20,7 +20,7 @@
     PlatformConfirmed,
     PlatformFailed,
 )
-from ..util.gevent_http import GeventConnectionPool
+from ..util.gevent_pool import GeventConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/marigoldwalk/metrics/recorder.py
+++ b/marigoldwalk/metrics/recorder.py
@@ -5,11 +5,11 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
-
 from ..errors import Execution
 
 if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
+
     from ..core.actions import AnswerCaller
 
 LOWEST_US = 1
@@ -47,6 +47,9 @@
     def _histogram(self, group: str) -> HdrHistogram:
         histogram = self.latency_us.get(group)
         if histogram is None:
+            # Loaded with the first answer, since callers wait for the start of a daemon.
+            from hdrh.histogram import HdrHistogram
+
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
             self.latency_us[group] = histogram
         return histogram
--- a/marigoldwalk/platform/__main__.py
+++ b/marigoldwalk/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -17,7 +18,9 @@
 
     path = os.environ.get(SETTINGS_VARIABLE, "settings.yaml")
     caller_listener = open_caller_listener(path)
-    # Most of the time of a start passes while these modules are loaded.
+    # Most of the time of a start passes while these modules are loaded. They leave little garbage.
+    gc.disable()
     from .program import main
 
+    gc.enable()
     sys.exit(main(path, caller_listener))
--- a/marigoldwalk/platform/mirror.py
+++ b/marigoldwalk/platform/mirror.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import logging
 from collections import deque
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
 
-import bottle
 import gevent
 
 from ..gateway.store_interface import UNKNOWN_ERA
@@ -14,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+logger = logging.getLogger(__name__)
+
 MAX_EVENTS = 4000
 """Maximum number of events kept; a daemon that is further behind reads a full snapshot."""
 POLL_S = 0.05
@@ -22,21 +26,16 @@
 """Items per page; the maximum page size of the store itself."""
 ERA_HEADER = "Store-Era"
 """Header of all responses of the store; the era rises each time a copy of the store is restored."""
-_GONE = 410
-_UNAVAILABLE = 503
 
 
 class Mirror:
     """Items and recent events, with the store's own era and revisions.
 
-    :attr:`app` refuses all calls while *is_fresh* returns false, since the mirror may then be
-    behind the store.
+    :meth:`app`, a WSGI application, refuses all calls while *is_fresh* returns false, since the
+    mirror may then be behind the store.
     """
 
     def __init__(self, is_fresh: Callable[[], bool]) -> None:
-        self.app = bottle.Bottle()
-        self.app.route("/-/kv-range", "GET", self._range)
-        self.app.route("/-/kv-watch", "GET", self._watch)
         self.era = UNKNOWN_ERA
         self.revision = 0
         self._is_fresh = is_fresh
@@ -64,40 +63,52 @@
             self._compacted_revision = self._events.popleft()["revision"]
         self.revision = max(self.revision, revision)
 
-    def _range(self) -> bottle.HTTPResponse:
+    def app(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Answer a call of another daemon."""
+        answer = self._answer(environ)
+        is_status = isinstance(answer, HTTPStatus)
+        status = answer if is_status else HTTPStatus.OK
+        body = b"" if is_status else json.dumps(answer, separators=(",", ":")).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        if self.era != UNKNOWN_ERA:
+            headers.append((ERA_HEADER, str(self.era)))
+        start_response(f"{status.value} {status.phrase}", headers)
+        return [body]
+
+    def _answer(self, environ: dict[str, Any]) -> dict[str, Any] | HTTPStatus:
+        call = {"/-/kv-range": self._range, "/-/kv-watch": self._watch}.get(environ["PATH_INFO"])
+        if call is None:
+            return HTTPStatus.NOT_FOUND
+        if environ["REQUEST_METHOD"] != "GET":
+            return HTTPStatus.METHOD_NOT_ALLOWED
+        query = parse_qs(environ["QUERY_STRING"], keep_blank_values=True)
+        try:
+            return call({name: values[-1] for name, values in query.items()})
+        except (KeyError, ValueError) as exc:
+            logger.info("invalid call of the mirror", extra={"fields": {"why": repr(exc)}})
+            return HTTPStatus.BAD_REQUEST
+
+    def _range(self, query: dict[str, str]) -> dict[str, Any] | HTTPStatus:
         if not self._is_fresh():
-            return self._response("", _UNAVAILABLE)
-        query = bottle.request.query
-        keys = sorted(k for k in self._items if k.startswith(query.prefix) and k > query.after)
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
         page = [self._items[key] for key in keys[:PAGE_ITEMS]]
-        return self._json_response(
-            {
-                "items": page,
-                "has-more": len(keys) > len(page),
-                "current-rev": self.revision,
-            }
-        )
-
-    def _watch(self) -> bottle.HTTPResponse:
-        query = bottle.request.query
-        after = int(query.after)
+        return {
+            "items": page,
+            "has-more": len(keys) > len(page),
+            "current-rev": self.revision,
+        }
+
+    def _watch(self, query: dict[str, str]) -> dict[str, Any] | HTTPStatus:
+        after = int(query["after"])
         era = self.era
         with gevent.Timeout(int(query["wait-ms"]) / 1000, False):
             while self._is_fresh() and self.revision <= after and self.era == era:
                 gevent.sleep(POLL_S)
         if not self._is_fresh():
-            return self._response("", _UNAVAILABLE)
+            return HTTPStatus.SERVICE_UNAVAILABLE
         if after < self._compacted_revision or self.era != era:
-            return self._response("", _GONE)
+            return HTTPStatus.GONE
         events = [event for event in self._events if event["revision"] > after]
-        return self._json_response({"events": events, "current-rev": max(self.revision, after)})
-
-    def _json_response(self, value: dict[str, Any]) -> bottle.HTTPResponse:
-        body = json.dumps(value, separators=(",", ":"))
-        return self._response(body, 200, {"Content-Type": "application/json"})
-
-    def _response(
-        self, body: str, status: int, headers: dict[str, str] | None = None
-    ) -> bottle.HTTPResponse:
-        era_header = {ERA_HEADER: str(self.era)} if self.era != UNKNOWN_ERA else {}
-        return bottle.HTTPResponse(body, status, (headers or {}) | era_header)
+        return {"events": events, "current-rev": max(self.revision, after)}
--- a/marigoldwalk/util/gevent_http.py
+++ b/marigoldwalk/util/gevent_http.py
@@ -1,4 +1,4 @@
-"""urllib3 connections that do not block other greenlets."""
+"""HTTP connections that do not block other greenlets."""
 
 from __future__ import annotations
 
@@ -8,8 +8,6 @@
 from typing import TYPE_CHECKING
 
 from gevent import socket as gevent_socket
-from urllib3.connection import HTTPConnection
-from urllib3.connectionpool import HTTPConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -25,7 +23,7 @@
     """The headers; names are looked up without regard to case."""
 
 
-class GeventConnection(HTTPConnection):
+class GeventConnection(http.client.HTTPConnection):
     """A connection on gevent's sockets, whether or not the process is monkey-patched."""
 
     _unsent_parts: list[bytes] | None = None
@@ -46,7 +44,8 @@
 
         The request is sent with a single call. The response is read with the standard library's
         ``HTTPResponse``. urllib3's response class also decodes the content and copies the headers,
-        which takes as much processor time as the rest of the exchange.
+        which takes as much processor time as the rest of the exchange, and loading urllib3 would
+        delay the start of a daemon.
 
         The connection can be used again if ``sock`` is still set. Raises ``OSError`` and
         ``http.client.HTTPException``.
@@ -60,7 +59,7 @@
         self.endheaders(body)
         parts, self._unsent_parts = self._unsent_parts, None
         self.sock.sendall(b"".join(parts))
-        response = http.client.HTTPConnection.getresponse(self)
+        response = self.getresponse()
         return Reply(response.status, response.read(), response.headers)
 
     def send(self, data: bytes) -> None:
@@ -69,9 +68,3 @@
             super().send(data)
         else:
             self._unsent_parts.append(data)
-
-
-class GeventConnectionPool(HTTPConnectionPool):
-    """A pool of :class:`GeventConnection` objects."""
-
-    ConnectionCls = GeventConnection
--- a/tests/daemon/test_frontend.py
+++ b/tests/daemon/test_frontend.py
@@ -17,7 +17,7 @@
 from marigoldwalk.daemon.http_server import make_server
 from marigoldwalk.daemon.readiness import Readiness
 from marigoldwalk.errors import Code, Execution, Missing
-from marigoldwalk.util.gevent_http import GeventConnectionPool
+from marigoldwalk.util.gevent_pool import GeventConnectionPool
 
 from .scripted import TEST_TIMEOUT_S
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -41,9 +41,10 @@
     accepted = []
 
     def main(path, listener):
-        with socket.create_connection(("127.0.0.1", port), 1.0), adopt(
-            listener, Address("127.0.0.1", port)
-        ) as adopted:
+        with (
+            socket.create_connection(("127.0.0.1", port), 1.0),
+            adopt(listener, Address("127.0.0.1", port)) as adopted,
+        ):
             accepted.append(adopted.accept())
         return 0
 
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -144,3 +144,19 @@
     mirror_setup.register("i-1")
     mirror_setup.reader.read()
     assert mirror_setup.follower.read().era == UNKNOWN_ERA
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "query", "status"),
+    [
+        ("GET", "/elsewhere", "", "404 Not Found"),
+        ("POST", "/-/kv-range", "", "405 Method Not Allowed"),
+        ("GET", "/-/kv-watch", "after=x&wait-ms=0", "400 Bad Request"),
+        ("GET", "/-/kv-watch", "", "400 Bad Request"),
+    ],
+)
+def test_invalid_calls_of_a_mirror_are_refused(method, path, query, status):
+    environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "QUERY_STRING": query}
+    statuses = []
+    body = Mirror(lambda: True).app(environ, lambda text, _: statuses.append(text))
+    assert (statuses, list(body)) == ([status], [b""])
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -3,7 +3,15 @@
 import subprocess
 import sys
 
-SLOW_TO_LOAD = ("marigoldwalk.core.engine", "marigoldwalk.application", "prometheus_client")
+SLOW_TO_LOAD = (
+    "bottle",
+    "hdrh",
+    "marigoldwalk.application",
+    "marigoldwalk.core.engine",
+    "prometheus_client",
+    "urllib3",
+    "yaml",
+)
 """Slow modules that the gateway does not need to serve callers."""
 
 
@@ -11,3 +19,9 @@
     code = "import sys, marigoldwalk.platform.program; print(*sys.modules)"
     printed = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout
     assert set(printed.decode().split()).isdisjoint(SLOW_TO_LOAD)
+
+
+def test_listener_is_opened_before_large_modules_are_loaded():
+    code = "import sys, marigoldwalk.platform.early_listener; print(*sys.modules)"
+    printed = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout
+    assert set(printed.decode().split()).isdisjoint(("gevent", "pydantic", "http.client", "yaml"))
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -8,7 +8,7 @@
 from marigoldwalk.config.view import Address
 from marigoldwalk.core.parameters import Parameters
 from marigoldwalk.errors import Code, MarigoldwalkError
-from marigoldwalk.util.gevent_http import GeventConnectionPool
+from marigoldwalk.util.gevent_pool import GeventConnectionPool
 
 TIMEOUT_S = 10.0
 ANY_PORT = Address("127.0.0.1", 0)
