Hold requests until the first read of the store has ended

Cause: requests that have waited at the listener arrive before the configuration is known, were refused with Retry-After 1 s and so used up the callers' retry (18 of 282 refused).

Change: they are held until the first read of the store ends, for at most 0.8 s after the start. If it fails, they are refused at once.

--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -29,6 +29,7 @@
 from .frontend import Frontend
 from .gossip import GossipTransport
 from .reporter import Reporter
+from .start_gate import StartGate
 from .store_watcher import StoreWatcher
 
 if TYPE_CHECKING:
@@ -63,8 +64,8 @@
         status = gateway.run()
 
     *open_store* takes a function that returns whether the last read is fresh. It returns the store
-    and a WSGI application that serves a mirror of it to other daemons. *caller_listener* is a socket
-    that may listen on the callers' address already.
+    and a WSGI application that serves a mirror of it to other daemons. *caller_listener* is a
+    socket that may listen on the callers' address already.
     """
 
     def __init__(
@@ -87,10 +88,15 @@
         delegate_client = DelegateClient(self.delegation, self._pool, now, counters)
         self._recorder = Recorder()
         reporter = Reporter(counters, self._recorder)
-        self._frontend = Frontend(router, self._executor, delegate_client, codec, reporter, now)
+        start_gate = StartGate(now, counters)
+        self._frontend = Frontend(
+            router, self._executor, delegate_client, codec, reporter, start_gate, now
+        )
         store, mirror_app = open_store(self._is_fresh)
         readers = Readers(self._membership)
-        self._store_watcher = StoreWatcher(store, readers, self.world.catalog, now, counters)
+        self._store_watcher = StoreWatcher(
+            store, readers, self.world.catalog, now, counters, start_gate.open
+        )
         self._caller_listener = adopt(caller_listener, settings.caller_address)
         self._caller_server = make_server(
             self._caller_listener,
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -35,6 +35,7 @@
     from .executor import ActionExecutor, ActiveExchange
     from .header_codec import HeaderCodec
     from .reporter import Reporter
+    from .start_gate import StartGate
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +61,7 @@
         delegate_client: DelegateClient,
         codec: HeaderCodec,
         reporter: Reporter,
+        start_gate: StartGate,
         now: Callable[[], float],
     ) -> None:
         self.is_stopping = False
@@ -68,6 +70,7 @@
         self._delegate_client = delegate_client
         self._codec = codec
         self._reporter = reporter
+        self._start_gate = start_gate
         self._now = now
 
     def handle_caller(
@@ -75,6 +78,7 @@
     ) -> Iterable[bytes]:
         """Answer a caller's request."""
         received_at = self._now()
+        self._start_gate.wait()
         parsed = self._parse_request(environ, received_at)
         if isinstance(parsed, ErrorAnswer):
             self._reporter.rejected(environ[HANDLER_KEY].path, parsed)
--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -75,6 +75,7 @@
         catalog: Catalog,
         now: Callable[[], float],
         counters: Counter[str],
+        on_first_read: Callable[[str], None] = lambda why: None,
     ) -> None:
         self.era = UNKNOWN_ERA
         self.revision = 0
@@ -88,6 +89,8 @@
         self._catalog = catalog
         self._now = now
         self._counters = counters
+        self._on_first_read = on_first_read
+        """Called with the outcome of a read; calls after the first have no effect."""
         self._excluded: set[str] = set()
         self._era_change = EraChange()
         self._failed_at = float("-inf")
@@ -198,6 +201,7 @@
         self._apply(self._without_departed(batch))
         self._has_snapshot = True
         logger.info("full snapshot of the store read", extra={"fields": self._state()})
+        self._on_first_read("the store has been read")
 
     def _watch(self, store: Store, wait_s: float = WATCH_TIMEOUT_S) -> None:
         self._apply(store.watch(self.revision, wait_s))
@@ -237,6 +241,7 @@
         self._failed_at = self._now()
         self._readers.record_store_failure(self._failed_at)
         self._counters["store.failure"] += 1
+        self._on_first_read(f"the store is not responding: {exc}")
         if not self._is_unavailable:
             self._is_unavailable = True
             fields = {"why": str(exc), **self._state()}
@@ -261,6 +266,7 @@
                     "unexpected error while reading the store; reading a full snapshot"
                 )
                 self._counters["store.fault"] += 1
+                self._on_first_read("the store cannot be read")
                 self._has_snapshot = False
                 self._back_off()
             else:
