Hand fan-outs of weak daemons to strong ones while they start

Cause: when requests are let through after the first read of the store, a weak instance knows 21 of 131 members and therefore runs fan-outs itself: 90 to 180 new connections each on 0.36 cores, which are still busy with the start. Hedges used up the retry budget, servers turned 4,737 arrivals away, and 15 of 62 requests in these two seconds failed.

Change: for 2 s after its start, a weak daemon hands these queries to strong ones that it knows. Its shares of the fleet-wide limits are as before.

--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -84,7 +84,7 @@
         self._pool = ConnectionPool(now, counters)
         self._executor = ActionExecutor(router, self._pool, codec, now, self._report_isolation)
         self._membership = self._make_membership()
-        self.delegation = Delegation(self._membership)
+        self.delegation = Delegation(self._membership, now())
         delegate_client = DelegateClient(self.delegation, self._pool, now, counters)
         self._recorder = Recorder()
         reporter = Reporter(counters, self._recorder)
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -10,6 +10,11 @@
 So a single failure is enough to avoid a delegate until its next heartbeat arrives. If no delegate
 is left in the own failure domain, those of other domains are used: only the request and the merged
 answer cross between domains.
+
+When all daemons start at the same moment, the strong ones are ready a second before the others,
+which are still busy with their start when the first queries arrive. A weak daemon hands these to
+strong ones until it has had time to learn how large the fleet is, also in a small fleet. Shares of
+the fleet-wide limits do not depend on this.
 """
 
 from __future__ import annotations
@@ -32,6 +37,9 @@
 """Fraction of the fleet-wide limits for delegates; the rest is for daemons without a delegate."""
 DELEGATE_BACKOFF_S = 1.0
 """Minimum time for which a failed delegate is avoided; gossip suspects it after 5 s."""
+STARTING_S = 2.0
+"""Time after the start for which a weak daemon hands fan-out queries to strong ones: gossip finds
+nearly all members within it."""
 
 
 @dataclass(slots=True)
@@ -43,6 +51,7 @@
     """
 
     membership: Membership
+    started_at: float = float("-inf")
     is_needed: bool = False
     delegates: dict[str, MemberReport] = field(default_factory=dict)
     """The delegates of the own failure domain by name, including this daemon if it is one."""
@@ -89,11 +98,25 @@
 
     def choose(self, now: float) -> MemberReport | None:
         """Return the daemon that should execute a query, or ``None`` for this daemon."""
-        if not self.is_needed or self.is_delegate:
+        if not self.is_needed:
+            return self._choose_while_starting(now)
+        if self.is_delegate:
             return None
         usable = self._usable(self.delegates, now) or self._usable(self.remote_delegates, now)
         return min(usable, key=self._load, default=None)
 
+    def _choose_while_starting(self, now: float) -> MemberReport | None:
+        """Return a strong daemon if this one is weak and has just started."""
+        if now - self.started_at >= STARTING_S:
+            return None
+        own = self.membership.own
+        alive = [row.report for row in self.membership.alive(now)]
+        strong = strong_members([own, *alive])
+        if own in strong:
+            return None
+        connected = {report.name: report for report in strong if not report.is_isolated}
+        return min(self._usable(connected, now), key=self._load_and_distance, default=None)
+
     def choose_connected(self, is_query: bool, now: float) -> MemberReport | None:
         """Return the daemon that executes a request for this one, which reaches no server.
 
--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marigoldwalk.config.view import Address
-from marigoldwalk.routing.delegation import DELEGATE_BACKOFF_S, Delegation
+from marigoldwalk.routing.delegation import DELEGATE_BACKOFF_S, STARTING_S, Delegation
 from marigoldwalk.routing.membership import MemberReport, Membership
 from marigoldwalk.routing.readers import MIN_READERS, READER_BACKOFF_S, Readers
 
@@ -194,3 +194,36 @@
     reports[2] = replace(reports[2], is_leaving=True)
     delegation = delegation_of(reports[0], reports, max_connections=26)
     assert delegation.choose_connected(False, NOW) is None
+
+
+def starting_delegation_of(own, reports):
+    delegation = Delegation(membership_of(own, reports), started_at=NOW)
+    delegation.update(60, NOW)
+    return delegation
+
+
+def test_weak_daemon_that_starts_hands_queries_to_strong_ones_in_a_small_fleet():
+    reports = fleet(9, strong=(0, 1))
+    weak = starting_delegation_of(reports[4], reports)
+    assert weak.choose(NOW).name == "m-0"
+    assert weak.choose(NOW + STARTING_S) is None
+    assert weak.shard_share == pytest.approx(1 / 9)
+
+
+def test_strong_daemon_that_starts_executes_its_own_queries():
+    reports = fleet(9, strong=(0, 1))
+    assert starting_delegation_of(reports[0], reports).choose(NOW) is None
+
+
+def test_daemon_that_starts_alone_executes_its_own_queries():
+    own = fleet(1)[0]
+    assert starting_delegation_of(own, [own]).choose(NOW) is None
+
+
+def test_weak_daemon_that_starts_avoids_strong_ones_that_fail_or_reach_no_server():
+    reports = fleet(9, strong=(0, 1, 2))
+    reports[0] = replace(reports[0], is_isolated=True)
+    weak = starting_delegation_of(reports[4], reports)
+    weak.record_start(reports[2])
+    weak.record_end(reports[2], True, NOW)
+    assert weak.choose(NOW).name == "m-1"
