Open the callers' listener after the large libraries are loaded

Cause: opened before anything was loaded, the listener of a weak instance made callers wait for a third of their time and give up; a refusal lets them retry at a strong instance at once.

Change: the libraries are loaded first (two thirds of the processor time of a start), then the listener is opened, then the package's modules are loaded.

--- a/marigoldwalk/platform/__main__.py
+++ b/marigoldwalk/platform/__main__.py
@@ -14,12 +14,13 @@
 if __name__ == "__main__":
     # SIGHUP requests a reload and must not terminate the process while it is still starting.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Loading modules takes nearly all of a start. They leave little garbage.
+    gc.disable()
+    from . import libraries  # noqa: F401 (loads them)
     from .early_listener import open_caller_listener
 
     path = os.environ.get(SETTINGS_VARIABLE, "settings.yaml")
     caller_listener = open_caller_listener(path)
-    # Most of the time of a start passes while these modules are loaded. They leave little garbage.
-    gc.disable()
     from .program import main
 
     gc.enable()
--- a/marigoldwalk/platform/early_listener.py
+++ b/marigoldwalk/platform/early_listener.py
@@ -1,11 +1,10 @@
-"""Opens the callers' listener before the program's modules are loaded.
+"""Opens the callers' listener before the program's own modules are loaded.
 
-Load pattern: all daemons lose power and start at the same moment, so callers find no other daemon
-to retry at. Loading the modules takes longer than the rest of a start. A connection that arrives
-meanwhile is refused if nothing listens yet, and waits to be accepted if something does.
-
-This module is loaded before all others and therefore imports only what the interpreter itself has
-loaded or what is small.
+Load pattern: all daemons lose power and start at the same moment, so callers find few daemons to
+retry at. A connection that arrives while modules are loaded is refused if nothing listens yet, and
+waits to be accepted if something does. Callers abandon a connection from which nothing is read for
+a third of their time, so the listener is opened when most of the start is over, after
+:mod:`.libraries`.
 """
 
 from __future__ import annotations
