--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 # Installs the dependencies declared in pyproject.toml into target/deps, unless it is up to date.
-# Compiles the package, which daemons cannot do themselves since they may not write here.
+# It also compiles the package, which daemons cannot do since they may not write to this folder.
 set -eu
 python3 -m compileall -q --invalidation-mode checked-hash marigoldwalk
 [ target/deps -nt pyproject.toml ] && exit 0
--- a/marigoldwalk/routing/delegation.py
+++ b/marigoldwalk/routing/delegation.py
@@ -115,7 +115,9 @@
         if own in strong:
             return None
         connected = {report.name: report for report in strong if not report.is_isolated}
-        return min(self._usable(connected, now), key=self._load_and_distance, default=None)
+        local = {name: r for name, r in connected.items() if r.domain == own.domain}
+        usable = self._usable(local, now) or self._usable(connected, now)
+        return min(usable, key=self._load, default=None)
 
     def choose_connected(self, is_query: bool, now: float) -> MemberReport | None:
         """Return the daemon that executes a request for this one, which reaches no server.
--- a/tests/routing/test_delegation.py
+++ b/tests/routing/test_delegation.py
@@ -227,3 +227,12 @@
     weak.record_start(reports[2])
     weak.record_end(reports[2], True, NOW)
     assert weak.choose(NOW).name == "m-1"
+
+
+def test_weak_daemon_that_starts_stays_in_its_failure_domain_while_a_strong_one_is_there():
+    reports = fleet(9, strong=(0, 1))
+    weak = starting_delegation_of(reports[4], reports)
+    for _ in range(3):
+        chosen = weak.choose(NOW)
+        assert chosen.name == "m-0"
+        weak.record_start(chosen)
