--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -5,9 +5,9 @@
 import logging
 import signal
 import sys
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-import bottle
 import gevent
 from gevent.event import Event
 
@@ -23,7 +23,7 @@
 from ..routing.senders import Senders
 from ..routing.world import RoutingWorld
 from ..util.clock import Clock
-from ..util.listening import bound_address, listen
+from ..util.listening import adopt, bound_address, listen
 from .connection_pool import ConnectionPool
 from .delegate_client import ELAPSED_KEY, DelegateClient
 from .executor import ActionExecutor
@@ -31,9 +31,11 @@
 from .gossip import GossipTransport
 from .quota_exchange import QuotaExchange
 from .reporter import Reporter
+from .start_gate import StartGate
 from .store_watcher import StoreWatcher
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable, Iterable
 
     from ..config.view import Address
@@ -64,7 +66,8 @@
         status = gateway.run()
 
     *open_store* takes a function that returns whether the last read is fresh. It returns the store
-    and a WSGI application that serves a mirror of it to other daemons.
+    and a WSGI application that serves a mirror of it to other daemons. *caller_listener* is a
+    socket that may listen on the callers' address already.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         settings: GatewaySettings,
         codec: HeaderCodec,
         open_store: Callable[[Callable[[], bool]], tuple[Store, WsgiApplication]],
+        caller_listener: socket.socket | None = None,
     ) -> None:
         self.settings = settings
         self._clock = Clock()
@@ -82,20 +86,30 @@
         self._pool = ConnectionPool(now, counters)
         self._executor = ActionExecutor(router, self._pool, codec, now, self._report_isolation)
         self._membership = self._make_membership()
-        self.delegation = Delegation(self._membership)
+        self.delegation = Delegation(self._membership, now())
         delegate_client = DelegateClient(self.delegation, self._pool, now, counters)
         self._recorder = Recorder()
         reporter = Reporter(counters, self._recorder)
         has_seeds = any(seed != settings.peer_address for seed in settings.seeds)
         self._quotas = WorkspaceQuotas(self.world, self._membership, has_seeds)
         quota_exchange = QuotaExchange(self._quotas, self._membership, now, counters)
+        start_gate = StartGate(now, counters)
         self._frontend = Frontend(
-            router, self._executor, delegate_client, codec, reporter, now, quota_exchange
+            router,
+            self._executor,
+            delegate_client,
+            codec,
+            reporter,
+            start_gate,
+            now,
+            quota_exchange,
         )
         store, mirror_app = open_store(self._is_fresh)
         readers = Readers(self._membership)
-        self._store_watcher = StoreWatcher(store, readers, self.world.catalog, now, counters)
-        self._caller_listener = listen(settings.caller_address)
+        self._store_watcher = StoreWatcher(
+            store, readers, self.world.catalog, now, counters, start_gate.open
+        )
+        self._caller_listener = adopt(caller_listener, settings.caller_address)
         self._caller_server = make_server(
             self._caller_listener,
             self._frontend.handle_caller,
@@ -284,12 +298,12 @@
     return app
 
 
-def _readiness_app(is_ready: Callable[[], bool]) -> bottle.Bottle:
-    app = bottle.Bottle()
+def _readiness_app(is_ready: Callable[[], bool]) -> WsgiApplication:
+    """Return the application for the load balancer's readiness check, which may use any path."""
 
-    def answer(path: str = "") -> bottle.HTTPResponse:
-        return bottle.HTTPResponse("", 200 if is_ready() else 503)
+    def app(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        status = HTTPStatus.OK if is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        start_response(f"{status.value} {status.phrase}", [("Content-Length", "0")])
+        return []
 
-    app.route("/", "GET", answer)
-    app.route("/<path:path>", "GET", answer)
     return app
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -36,6 +36,7 @@
     from .header_codec import HeaderCodec
     from .quota_exchange import QuotaExchange
     from .reporter import Reporter
+    from .start_gate import StartGate
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,7 @@
         delegate_client: DelegateClient,
         codec: HeaderCodec,
         reporter: Reporter,
+        start_gate: StartGate,
         now: Callable[[], float],
         quota_exchange: QuotaExchange,
     ) -> None:
@@ -70,6 +72,7 @@
         self._delegate_client = delegate_client
         self._codec = codec
         self._reporter = reporter
+        self._start_gate = start_gate
         self._now = now
         self._quota_exchange = quota_exchange
 
@@ -78,6 +81,7 @@
     ) -> Iterable[bytes]:
         """Answer a caller's request."""
         received_at = self._now()
+        self._start_gate.wait()
         parsed = self._parse_request(environ, received_at)
         if isinstance(parsed, ErrorAnswer):
             self._reporter.rejected(environ[HANDLER_KEY].path, parsed)
