Import the connection pool of the bench from its new module

Cause: the start of a daemon no longer loads urllib3, so the pool moved; bench/ was left behind. Result: bench.baseline and bench.generator can be imported again.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -31,7 +31,7 @@
 from marigoldwalk.daemon.backend_messages import read_reply, subrequest_body
 from marigoldwalk.daemon.query_model import read_query
 from marigoldwalk.errors import Code, Execution, Missing, Refusal
-from marigoldwalk.util.gevent_http import GeventConnectionPool
+from marigoldwalk.util.gevent_pool import GeventConnectionPool
 from standins.fleet import FIRST_SNAPSHOT
 from standins.listener import Listener
 
--- a/bench/generator.py
+++ b/bench/generator.py
@@ -18,7 +18,7 @@
 import urllib3
 from cyclopts import App
 
-from marigoldwalk.util.gevent_http import GeventConnectionPool
+from marigoldwalk.util.gevent_pool import GeventConnectionPool
 
 from .bodies import bodies
 from .load_plan import CONNECTION_LOST, Outcome, ReceivedHit, read_plan, write_outcomes
