Look up the queries for the same services once for each query

Cause: a choice of a server hashed the names of all shards to see whether its query leaves slots to others; with 90 shards that is 90 hashes of 90 names for each query. Change: the exchange keeps the entry that its arrival has found.

--- a/marigoldwalk/routing/exchanges.py
+++ b/marigoldwalk/routing/exchanges.py
@@ -11,6 +11,7 @@
     from .admission import ConcurrencyLimit
     from .model import Route, Workspace
     from .placement import NoServer
+    from .slot_reserve import Presence
     from .tables import ServerRow
 
 
@@ -197,6 +198,9 @@
     """Whether a server has executed the request, or its part of it, successfully."""
     holds_place: bool = False
     """Whether the exchange counts as open under the limit."""
+    presences: dict[tuple[str, int], Presence] | None = None
+    """The latest queries for the same services, by route and priority; looked up once, since the
+    services of a wide query are many."""
 
     @property
     def priority(self) -> int:
--- a/marigoldwalk/routing/slot_reserve.py
+++ b/marigoldwalk/routing/slot_reserve.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class _Presence:
+class Presence:
     """The latest query of one route at one priority."""
 
     route: Route
@@ -64,17 +64,18 @@
     """
 
     def __init__(self) -> None:
-        self._presences: dict[tuple[str, ...], dict[tuple[str, int], _Presence]] = {}
+        self._presences: dict[tuple[str, ...], dict[tuple[str, int], Presence]] = {}
 
     def record(self, exchange: Exchange, now: float) -> None:
         """Record the arrival of *exchange*."""
         route = exchange.route
         presences = self._presences.setdefault(route.services, {})
         presence = presences.setdefault(
-            (route.name, exchange.priority), _Presence(route, exchange.priority, now)
+            (route.name, exchange.priority), Presence(route, exchange.priority, now)
         )
         presence.route = route
         presence.seen_at = now
+        exchange.presences = presences
 
     def yielding_priorities(self, route: Route, now: float) -> set[int]:
         """Return the priorities of queries for the services of *route* that leave slots now."""
@@ -87,15 +88,16 @@
 
     def set_yielding(self, exchange: Exchange, is_yielding: bool) -> bool:
         """Set whether the queries of this route leave slots; return whether that is new."""
-        route = exchange.route
-        presence = self._presences[route.services][route.name, exchange.priority]
+        presence = exchange.presences[exchange.route.name, exchange.priority]
         is_new = presence.is_yielding != is_yielding
         presence.is_yielding = is_yielding
         return is_new
 
     def more_urgent(self, exchange: Exchange, now: float) -> list[Route]:
         """Return the routes of more urgent queries for the same services that have come lately."""
-        presences = self._presences.get(exchange.route.services, {})
+        presences = exchange.presences
+        if presences is None:
+            presences = self._presences.get(exchange.route.services, {})
         return [
             presence.route
             for presence in presences.values()
