--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,15 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 _ENTRY = "test: "
 
+# Every run draws the same examples, and a busy machine does not fail a slow one.
+settings.register_profile("repeatable", derandomize=True, deadline=None)
+settings.load_profile("repeatable")
+
 
 def _known_red() -> list[str]:
     if not KNOWN_RED.exists():
