Use keys in the soak

Change: callers of a soak belong to one of two workspaces, send its key and name another workspace; a guarantee is that servers learn the workspace of the key and never the key.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 from standins.listener import LOOPBACK
 
+from .deployment import WORKSPACE_KEYS
 from .journal import Call
 
 if TYPE_CHECKING:
@@ -102,6 +103,7 @@
             sent_at=self.now(),
             deadline_s=DEADLINE_S,
             is_probe=is_probe,
+            workspace=self.rng.choice(sorted(WORKSPACE_KEYS)),
         )
 
     def _send(self, call: Call) -> None:
@@ -152,6 +154,9 @@
         "Host: desk.example",
         f"X-Marigoldwalk-Request-Id: {call.request_id}",
         f"X-Marigoldwalk-Deadline-Ms: {int(call.deadline_s * 1000)}",
+        f"X-Api-Key: {WORKSPACE_KEYS[call.workspace]}",
+        # Callers may name any workspace; only the key counts.
+        "X-Marigoldwalk-Tenant-Id: another-workspace",
     ]
     if call.body:
         lines.append(f"Content-Length: {len(call.body)}")
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -30,6 +30,8 @@
 TIMEOUT_S = 2.0
 TARGET_LATENCY_S = 0.3
 COLD_PER_S = 20.0
+WORKSPACE_KEYS = {"archive": "key-of-archive", "branch": "key-of-branch"}
+"""The key of each workspace."""
 KEPT_PROBE_ROUTES = 2
 """Number of earlier versions whose probe routes a new version keeps."""
 PAGE_SIZE = 50
@@ -143,6 +145,7 @@
         record = config_record(self._version_number, routes, (*shards, *SINGLE_SERVICES))
         for service in record["services"]:
             service |= {"cold-start-s": 2, "cold-per-s": COLD_PER_S}
+        record["tenants"] = [{"name": n, "api-keys": [key]} for n, key in WORKSPACE_KEYS.items()]
         self.store.put("op/config", record)
         version = Version(
             number=self._version_number,
--- a/soak/guarantees/arrivals.py
+++ b/soak/guarantees/arrivals.py
@@ -39,6 +39,18 @@
             yield arrival.at, f"{arrival.request_id} differs from the request that the caller sent"
 
 
+@guarantees.register("workspaces")
+def workspaces(journal: Journal) -> Iterator[tuple[float, str]]:
+    """Servers learn the workspace of the caller's key, and never the key."""
+    sent = {call.request_id: call for call in journal.calls}
+    for arrival in journal.arrivals:
+        call = sent.get(arrival.request_id)
+        if arrival.key:
+            yield arrival.at, f"{arrival.request_id} reached a server with the caller's key"
+        elif call is not None and arrival.workspace != call.workspace:
+            yield arrival.at, f"{arrival.request_id} was sent as {arrival.workspace!r}"
+
+
 @guarantees.register("at most once")
 def at_most_once(journal: Journal) -> Iterator[tuple[float, str]]:
     """An at-most-once request is executed at most once."""
--- a/soak/guarantees/registry.py
+++ b/soak/guarantees/registry.py
@@ -28,6 +28,7 @@
     (
         "correct answers",
         "no unsolicited requests",
+        "workspaces",
         "at most once",
         "rejected requests never run",
         "correct service",
--- a/soak/journal.py
+++ b/soak/journal.py
@@ -34,6 +34,8 @@
     """Whether the request tests which configuration is in force."""
     abandoned: bool = False
     """Whether the caller closed the connection before the response."""
+    workspace: str = ""
+    """The workspace that the caller belongs to."""
 
     @property
     def is_success(self) -> bool:
@@ -57,6 +59,9 @@
     was_cold: bool
     ran: bool = False
     """Whether the server executed the request, rather than rejecting it."""
+    workspace: str = ""
+    key: str = ""
+    """The caller's key, which servers must not receive."""
 
     @property
     def server_name(self) -> str:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -217,6 +217,8 @@
             body=request.body,
             deadline_s=int(request.headers.get("x-marigoldwalk-deadline-ms", 0)) / 1000,
             was_cold=now < self.cold_until,
+            workspace=request.headers.get("x-marigoldwalk-tenant-id", ""),
+            key=request.headers.get("x-api-key", ""),
         )
 
 
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -120,6 +120,16 @@
     ]
 
 
+@pytest.mark.parametrize("seen", [{"key": "key-of-archive"}, {"workspace": "branch"}])
+def test_key_or_other_workspace_at_a_server_is_a_violation(seen):
+    journal = Journal(
+        [call(workspace="archive")],
+        [arrival(**({"workspace": "archive"} | seen))],
+        versions=[version()],
+    )
+    assert "workspaces" in violated(journal)
+
+
 def test_second_execution_or_execution_after_a_rejection_is_a_violation():
     journal = Journal(
         [call("/once/1", 503)],
