Forget the queries for earlier sets of shards

Cause: each reshard left an entry in the reserve of slots for the life of the process. Result: 50 sets of shards in turn leave 1 entry; the tests of the reserve and admission pass.

--- a/marigoldwalk/routing/slot_reserve.py
+++ b/marigoldwalk/routing/slot_reserve.py
@@ -69,6 +69,8 @@
     def record(self, exchange: Exchange, now: float) -> None:
         """Record the arrival of *exchange*."""
         route = exchange.route
+        if route.services not in self._presences:
+            self._forget(now)
         presences = self._presences.setdefault(route.services, {})
         presence = presences.setdefault(
             (route.name, exchange.priority), Presence(route, exchange.priority, now)
@@ -77,6 +79,14 @@
         presence.seen_at = now
         exchange.presences = presences
 
+    def _forget(self, now: float) -> None:
+        """Forget services whose last query is long ago, such as those of an earlier set of shards."""
+        self._presences = {
+            services: presences
+            for services, presences in self._presences.items()
+            if any(now - presence.seen_at <= PRESENT_S for presence in presences.values())
+        }
+
     def yielding_priorities(self, route: Route, now: float) -> set[int]:
         """Return the priorities of queries for the services of *route* that leave slots now."""
         presences = self._presences.get(route.services, {})
--- a/tests/routing/test_slot_reserve.py
+++ b/tests/routing/test_slot_reserve.py
@@ -96,3 +96,11 @@
     messages = [r.message for r in caplog.records if r.name.endswith("slot_reserve")]
     assert messages == ["slots are left to urgent queries", "all slots are used again"]
     assert simulation.world.counters["reserve.begun"] == 1
+
+
+def test_services_of_earlier_sets_of_shards_are_forgotten():
+    reserve = SlotReserve()
+    for number in range(50):
+        route = fan_out_route([f"s-{number}", "s-0"])
+        reserve.record(exchange(route), PRESENT_S * 2 * number)
+    assert len(reserve._presences) == 1
