--- a/marigoldwalk/routing/slot_reserve.py
+++ b/marigoldwalk/routing/slot_reserve.py
@@ -80,7 +80,7 @@
         exchange.presences = presences
 
     def _forget(self, now: float) -> None:
-        """Forget services whose last query is long ago, such as those of an earlier set of shards."""
+        """Forget services whose last query is long ago, such as an earlier set of shards."""
         self._presences = {
             services: presences
             for services, presences in self._presences.items()
