Check the text of a routing configuration that has been read already

Cause: the command reads the file to tell what kind it is, and the report read it a second time; a file that changed in between would be judged by two texts. Change: the report takes the text. No output changes.

--- a/marigoldwalk/cli.py
+++ b/marigoldwalk/cli.py
@@ -106,7 +106,7 @@
         from .config_report import check_routing_config
 
         in_force = _read_admin(admin, "/configuration") if admin else None
-        return ExitStatus(check_routing_config(file, against, in_force, strict, as_json))
+        return ExitStatus(check_routing_config(file, text, against, in_force, strict, as_json))
     verdict = _check_text(text)
     if not isinstance(verdict, Rejected):
         print(f"{file}: valid")
--- a/marigoldwalk/config_report.py
+++ b/marigoldwalk/config_report.py
@@ -23,24 +23,25 @@
 
 def check_routing_config(
     path: Path,
+    text: str,
     against: Path | None,
     in_force: dict[str, Any] | None,
     is_strict: bool,
     as_json: bool,
 ) -> int:
-    """Print the findings for the configuration at *path*; return the exit status.
+    """Print the findings for *text*, the configuration at *path*; return the exit status.
 
     It is compared with the one at *against* and with what a daemon has answered, *in_force*.
     """
-    findings = _findings(path, against, in_force)
+    findings = _findings(text, against, in_force)
     print(_as_json(findings) if as_json else _as_text(path, findings))
     return _status(findings, is_strict)
 
 
 def _findings(
-    path: Path, against: Path | None, in_force: dict[str, Any] | None
+    text: str, against: Path | None, in_force: dict[str, Any] | None
 ) -> Sequence[Finding]:
-    config = decode_config(read_text(path, Code.DOCUMENT_INVALID).encode())
+    config = decode_config(text.encode())
     if isinstance(config, ConfigProblems):
         return _form_errors(config)
     findings = check_config(config, in_force["servers"] if in_force is not None else None)
