--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -72,6 +72,19 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def encode_answer(answer: dict) -> bytes:
+    """Return the body of an answer of the store; items are encoded already."""
+    parts = []
+    for name, value in answer.items():
+        if name == "item":
+            parts.append(value["json"][1:-1])
+        elif isinstance(value, list):
+            parts.append(f'"{name}": [' + ", ".join(item["json"] for item in value) + "]")
+        else:
+            parts.append(f'"{name}": {json.dumps(value)}')
+    return ("{" + ", ".join(parts) + "}").encode()
+
+
 class Store:
     """The platform's store: keys with revisions, paged reads and watches."""
 
@@ -90,11 +103,16 @@
         self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
 
     def put(self, key: str, value: object) -> None:
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> None:
         self.revision += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
+        text = base64.b64encode(value).decode()
         created = self.items.get(key, {}).get("created", self.revision)
         item = {"key": key, "value": text, "revision": self.revision}
         item |= {"created": created, "lease": 0}
+        # Encoded once, since each reader of the store gets it.
+        item["json"] = json.dumps(item)
         self.items[key] = item
         self._note(item)
 
@@ -112,7 +130,7 @@
                 await asyncio.sleep(self.ANSWER_S)
                 answer = await self._answer(target.path, query)
                 status = 404 if answer is None else 200
-                body = json.dumps(answer or {}).encode()
+                body = encode_answer(answer or {})
                 writer.write(encode_reply(status, [("Content-Type", "application/json")], body))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -123,7 +141,7 @@
     async def _answer(self, path: str, query: dict[str, str]) -> dict | None:
         if path == "/-/kv-key":
             item = self.items.get(query["key"])
-            return item and {**item, "current-rev": self.revision}
+            return item and {"item": item, "current-rev": self.revision}
         if path == "/-/kv-range":
             prefix, after = query.get("prefix", ""), query.get("after", "")
             keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
