--- a/review/common/network.py
+++ b/review/common/network.py
@@ -50,16 +50,15 @@
                 if self.zones[name] == zone:
                     self.seen_as[zone, name] = self.addresses[name]
                     continue
-                datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-                datagrams.bind((HOST, 0))
-                port = datagrams.getsockname()[1]
-                self.seen_as[zone, name] = (HOST, port)
+                datagrams, streams = bind_both()
+                self.seen_as[zone, name] = datagrams.getsockname()
                 transport, _ = await loop.create_datagram_endpoint(
                     lambda zone=zone, name=name: Port(self, zone, name), sock=datagrams
                 )
                 self.transports[zone, name] = transport
                 await asyncio.start_server(
-                    lambda r, w, zone=zone, name=name: self.connect(zone, name, r, w), HOST, port
+                    lambda r, w, zone=zone, name=name: self.connect(zone, name, r, w),
+                    sock=streams,
                 )
 
     def is_cut(self, zone: str, other: str) -> bool:
@@ -111,6 +110,21 @@
             await self.healed.wait()
 
 
+def bind_both() -> tuple[socket.socket, socket.socket]:
+    """Return a datagram and a stream socket that are bound to the same free port."""
+    while True:
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        datagrams.bind((HOST, 0))
+        streams = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            streams.bind(datagrams.getsockname())
+        except OSError:
+            datagrams.close()
+            streams.close()
+        else:
+            return datagrams, streams
+
+
 class Port(asyncio.DatagramProtocol):
     """The port by which a zone knows a daemon of another zone."""
 
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -116,6 +116,13 @@
         self.items[key] = item
         self._note(item)
 
+    def delete(self, key: str) -> None:
+        self.revision += 1
+        del self.items[key]
+        event = {"key": key, "revision": self.revision, "tombstone": True}
+        event["json"] = json.dumps(event)
+        self._note(event)
+
     def _note(self, event: dict) -> None:
         self.events.append(event)
         self._record.write("store.acknowledged", key=event["key"], revision=self.revision)
@@ -349,7 +356,6 @@
 
     def __init__(self, daemons: list[Daemon], record: Record) -> None:
         self.daemons, self._record = daemons, record
-        self._turn = 0
 
     async def run(self) -> None:
         while True:
@@ -374,8 +380,7 @@
         else:
             chosen = local if len(rotation) < len(local) / 2 else rotation
         others = [d for d in chosen if d is not avoid] or chosen
-        self._turn += 1
-        return others[self._turn % len(others)]
+        return random.choice(others)
 
 
 class Answer:
