--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -288,10 +288,14 @@
         self.seeds: list[str] = []
         self._store, self._folder, self._record = store, Path(folder), record
         self.process: asyncio.subprocess.Process | None = None
+        self.is_ended = False
+        """Whether the case is over, so that no process is started any more."""
         self.term_at: float | None = None
         self.misses, self.in_rotation = 0, False
 
     async def start(self) -> None:
+        if self.is_ended:
+            return
         fields = {
             "name": self.name,
             "domain": self.zone,
@@ -488,6 +492,8 @@
                 async with asyncio.timeout(110):
                     return await case(record, directory, daemons, is_troubled)
             finally:
+                for daemon in daemons:
+                    daemon.is_ended = True
                 await asyncio.gather(*(d.stop() for d in daemons), return_exceptions=True)
 
         try:
