Read the store on beside an entry that is nested too deeply

Cause: json.loads raises RecursionError for nested texts, which is a RuntimeError. The decoders of records caught ValueError, so it left the watch, and each full read after it failed at the same entry.

The entry is unreadable like any other, names no server, and the rest is read on.

--- a/marigoldwalk/cli.py
+++ b/marigoldwalk/cli.py
@@ -20,6 +20,7 @@
 from .config.settings import parse_settings, read_settings
 from .config.text_files import read_text
 from .errors import Code, MarigoldwalkError, Missing
+from .util.json_text import decode_json
 from .util.plain_table import plain_record, plain_table
 
 app = App(name="marigoldwalk", version=__version__, help="A query tier over many shards.")
@@ -247,7 +248,7 @@
 def _is_routing_config(text: str) -> bool:
     """Return whether *text* is a JSON object with routes."""
     try:
-        value = json.loads(text)
+        value = decode_json(text)
     except ValueError:
         return False
     return isinstance(value, dict) and "routes" in value
@@ -255,7 +256,7 @@
 
 def _json_object(text: str) -> dict[str, Any]:
     try:
-        value = json.loads(text)
+        value = decode_json(text)
     except ValueError as exc:
         raise MarigoldwalkError(Code.MALFORMED, f"The body is not JSON: {exc}.") from exc
     if not isinstance(value, dict):
@@ -271,16 +272,17 @@
 
     try:
         url = f"http://{parse_address(address)}{path}"
+    except ValueError as exc:
+        raise MarigoldwalkError(Code.INVALID_FIELD, str(exc)) from exc
+    try:
         reply = urllib3.request("GET", url, retries=False, timeout=_ADMIN_TIMEOUT_S)
-        record = reply.json()
+        record = decode_json(reply.data)
     except urllib3.exceptions.HTTPError as exc:
         message = f"{address} does not answer ({type(exc).__name__})."
         raise MarigoldwalkError(Code.DAEMON_UNREACHABLE, message) from exc
-    except json.JSONDecodeError as exc:
+    except ValueError as exc:
         message = f"{address} sent a reply that is not JSON."
         raise MarigoldwalkError(Code.DAEMON_UNREACHABLE, message) from exc
-    except ValueError as exc:
-        raise MarigoldwalkError(Code.INVALID_FIELD, str(exc)) from exc
     if reply.status == HTTPStatus.OK and isinstance(record, dict):
         return record
     try:
--- a/marigoldwalk/config/yaml_text.py
+++ b/marigoldwalk/config/yaml_text.py
@@ -13,12 +13,12 @@
 from __future__ import annotations
 
 import gc
-import json
 from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
+from ..util.json_text import decode_json
 from .problems import Problem, Rejected, format_path
 
 if TYPE_CHECKING:
@@ -81,8 +81,8 @@
     # JSON escapes can encode characters that YAML refuses, such as an unpaired surrogate.
     if text.lstrip()[:1] == "{" and "\\" not in text:
         try:
-            return _read_json(text)
-        except (ValueError, RecursionError):
+            return decode_json(text, object_pairs_hook=_object)
+        except ValueError:
             # The YAML parser either accepts the text or reports the problem with its line.
             pass
     from . import yaml_nodes
@@ -91,10 +91,6 @@
         return yaml_nodes.plain_value(yaml_nodes.compose(text), (), set())
 
 
-def _read_json(text: str) -> Any:
-    return json.loads(text, object_pairs_hook=_object, parse_constant=_refuse_constant)
-
-
 def _object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     mapping = dict(pairs)
     if len(mapping) < len(pairs):
@@ -102,10 +98,6 @@
     return mapping
 
 
-def _refuse_constant(name: str) -> Any:
-    raise ValueError(name)
-
-
 @contextmanager
 def _garbage_collector_paused() -> Iterator[None]:
     """Disable the garbage collector, which would traverse the many nodes again and again."""
--- a/marigoldwalk/platform/records.py
+++ b/marigoldwalk/platform/records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
@@ -28,6 +27,7 @@
     WeightedService,
     Workspace,
 )
+from ..util.json_text import decode_json
 from .keys import digest_of
 
 logger = logging.getLogger(__name__)
@@ -154,7 +154,7 @@
 def decode_config(value: bytes) -> RoutingConfig | ConfigProblems:
     """Return the configuration in *value*, or the problems with its form."""
     try:
-        record = _ConfigRecord.model_validate(json.loads(value))
+        record = _ConfigRecord.model_validate(decode_json(value))
     except ValidationError as exc:
         problems = ((format_path(error["loc"]), error["msg"]) for error in exc.errors())
         return ConfigProblems(tuple(problems))
@@ -178,7 +178,7 @@
     if value is None:
         return ServerRemoved(server_id)
     try:
-        record = _ServerRecord.model_validate(json.loads(value))
+        record = _ServerRecord.model_validate(decode_json(value))
         address = parse_server_address(record.address)
     except (ValueError, ValidationError):
         return ServerRemoved(server_id, is_unreadable=True)
--- a/marigoldwalk/platform/store.py
+++ b/marigoldwalk/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http.client
-import json
 import logging
 from base64 import b64decode
 from dataclasses import dataclass
@@ -20,6 +19,7 @@
     UpdateBatch,
 )
 from ..util.gevent_http import GeventConnection
+from ..util.json_text import decode_json
 from .mirror import ERA_HEADER
 from .records import KEY_PREFIXES, decode_item
 
@@ -174,7 +174,7 @@
 def _validated(path: str, body: bytes) -> dict[str, Any]:
     """Return the decoded response in *body*; raises ``StoreError`` if it is malformed."""
     try:
-        answer = json.loads(body)
+        answer = decode_json(body)
         entries = answer.get("items", answer.get("events", []))
         is_valid = isinstance(answer["current-rev"], int) and all(
             isinstance(entry["key"], str) for entry in entries
--- a/marigoldwalk/util/log_lines.py
+++ b/marigoldwalk/util/log_lines.py
@@ -5,6 +5,8 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+from .json_text import decode_json
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
@@ -24,7 +26,7 @@
         if start < 0:
             continue
         try:
-            record = json.loads(line[start:])
+            record = decode_json(line[start:])
         except ValueError:
             # Other programs write to the same logs.
             continue
--- a/standins/gateway_backends.py
+++ b/standins/gateway_backends.py
@@ -26,6 +26,7 @@
     "text revision": '{"items": [], "events": [], "current-rev": "9"}',
     "no key": '{"items": [{"value": ""}], "current-rev": 9}',
     "null items": '{"items": null, "current-rev": 9}',
+    "nested": "[" * 2000,
 }
 """Malformed replies of the store, by the name of the failure."""
 
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -20,9 +20,17 @@
 from marigoldwalk.routing.catalog import Catalog
 from marigoldwalk.routing.membership import MemberReport, Membership
 from marigoldwalk.routing.readers import Readers
+from standins.gateway_backends import (
+    StandinServer,
+    StandinStore,
+    config_record,
+    route_record,
+    stopping,
+)
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
 from ..routing.simulation import routing_config, single_route
+from .daemons import Daemon, ask, deployment, request, wait_until
 from .scripted_store import (
     APPLY_S,
     HISTORY_LOST,
@@ -344,3 +352,28 @@
     clock.now += 3.0
     watcher.poll()
     assert catalog.confirmed_at == clock.now - 3.0 - MAX_MIRROR_AGE_S
+
+
+def test_daemon_follows_the_store_beside_a_deeply_nested_entry():
+    """An entry of another writer that cannot be read stopped all reading of the store."""
+    servers = {"s-1": [StandinServer("i-1", b"1")], "s-2": [StandinServer("i-2", b"2")]}
+    with deployment(servers=servers) as (daemon, store):
+        store.put("servers/i-other", b"[" * 2000)
+        store.put("op/config", config_record(2, [route_record(service="s-2")], ["s-1", "s-2"]))
+        wait_until(lambda: ask(daemon, request())[0][2] == b"2")
+        counters = daemon.gateway.world.counters
+    assert counters["store.fault"] == 0
+    assert counters["registration.unreadable"] == 1
+
+
+def test_daemon_starts_beside_a_deeply_nested_entry():
+    """A daemon that started beside an unreadable entry never became ready."""
+    store = StandinStore()
+    with stopping(store):
+        store.put("servers/i-other", b"[" * 2000)
+        store.put("op/config", config_record())
+        daemon = Daemon(store)
+        try:
+            daemon.wait_until_ready()
+        finally:
+            daemon.kill()
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -90,6 +90,16 @@
     assert decode_item("servers/i-1", value) == ServerRemoved("i-1", is_unreadable=True)
 
 
+# Guards against entries that are nested too deeply for the decoder, which stopped all reading.
+@pytest.mark.parametrize("value", [b"[" * 2000, b'{"a":' * 2000, b"[" * 1_048_576])
+def test_deeply_nested_server_record_is_unreadable(value):
+    assert decode_item("servers/i-1", value) == ServerRemoved("i-1", is_unreadable=True)
+
+
+def test_deeply_nested_configuration_is_ignored():
+    assert decode_item("op/config", b'{"routes": ' + b"[" * 2000) is None
+
+
 def test_deleted_server_record_is_a_removal():
     assert decode_item("servers/i-1", None) == ServerRemoved("i-1")
 
