Take an entry with a number too large for unreadable

An entry of another writer with 10**400 slots passed the decoder. Where a less urgent query shares its service, a decision multiplies the slots with a float: OverflowError, and each such request failed with a 500. 1e999 as the time for which a server stays cold passed as infinity.

Cause: the models of records bounded integers from below only and allowed infinite floats. Numbers of records are at most 2**53 and finite now, in entries and in configurations; anything else is unreadable, as for a field of another type.

--- a/marigoldwalk/platform/records.py
+++ b/marigoldwalk/platform/records.py
@@ -38,6 +38,9 @@
 KEY_PREFIXES = ("op/", SERVER_PREFIX)
 """Prefixes of all keys that the gateway reads."""
 
+MAX_INTEGER = 2**53
+"""Largest number of a record; some JSON parsers do not represent larger integers exactly."""
+
 _SAFE = "safe"
 _DRAINING = "draining"
 
@@ -49,7 +52,14 @@
 class _Record(BaseModel):
     """Base of the platform's records; unknown fields are ignored."""
 
-    model_config = ConfigDict(extra="ignore", alias_generator=_to_kebab_case, frozen=True)
+    model_config = ConfigDict(
+        extra="ignore", alias_generator=_to_kebab_case, frozen=True, allow_inf_nan=False
+    )
+
+
+_Count = Annotated[int, Field(ge=1, le=MAX_INTEGER)]
+_Number = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+_Milliseconds = Annotated[float, Field(ge=0, le=MAX_INTEGER)]
 
 
 class _SplitRecord(_Record):
@@ -66,7 +76,7 @@
     timeout_ms: float
     target_latency_ms: float | None = None
     priority: int = 0
-    max_attempts: int = Field(default=1, ge=1)
+    max_attempts: _Count = 1
     service: str | None = None
     split: tuple[_SplitRecord, ...] = ()
     fanout_services: tuple[str, ...] = ()
@@ -77,7 +87,7 @@
 
 class _ServiceRecord(_Record):
     name: str
-    max_connections: int = Field(default=1, ge=1)
+    max_connections: _Count = 1
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
 
@@ -94,8 +104,8 @@
     name: str = Field(pattern=r"^[!-~]([ -~]*[!-~])?$")
     api_keys: tuple[Annotated[str, Field(min_length=1)], ...] = ()
     priority: int | None = None
-    rate_per_s: float | None = Field(default=None, ge=0, allow_inf_nan=False)
-    burst: float | None = Field(default=None, ge=0, allow_inf_nan=False)
+    rate_per_s: float | None = Field(default=None, ge=0)
+    burst: float | None = Field(default=None, ge=0)
 
 
 class _ConfigRecord(_Record):
@@ -107,23 +117,20 @@
     tenants: Any = None
 
 
-_NonNegativeInt = Annotated[int, Field(strict=True, ge=0)]
-
-
 class _ServerRecord(_Record):
-    model_config = ConfigDict(
-        extra="ignore", alias_generator=_to_kebab_case, frozen=True, strict=True
-    )
+    """An entry of a server; another writer may have left it, so it is taken literally."""
+
+    model_config = ConfigDict(strict=True)
 
     service: str = Field(min_length=1)
     address: str
     zone: str
-    slots: Annotated[int, Field(strict=True, ge=1)]
+    slots: _Count
     state: Literal["ready", "draining"]
-    cold_left_ms: float = Field(ge=0)
-    sequence: _NonNegativeInt
+    cold_left_ms: _Milliseconds
+    sequence: _Number
     # Start time of the server's incarnation, not of its machine.
-    born: _NonNegativeInt = 0
+    born: _Number = 0
 
 
 def decode_item(key: str, value: bytes | None) -> StoreUpdate | None:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -90,6 +90,16 @@
     assert decode_item("servers/i-1", value) == ServerRemoved("i-1", is_unreadable=True)
 
 
+# Guards against numbers that pass the decoder and fail, or never end, where a decision uses them.
+@pytest.mark.parametrize("field", ["slots", "cold-left-ms", "sequence", "born"])
+@pytest.mark.parametrize(
+    "number", ["9" * 400, str(2**53 + 2), "1e999", "9" * 5000, "Infinity", "NaN"]
+)
+def test_server_record_with_a_number_too_large_is_unreadable(field, number):
+    text = json.dumps(SERVER | {field: "here"}).replace('"here"', number)
+    assert decode_item("servers/i-1", text.encode()) == ServerRemoved("i-1", is_unreadable=True)
+
+
 # Guards against entries that are nested too deeply for the decoder, which stopped all reading.
 @pytest.mark.parametrize("value", [b"[" * 2000, b'{"a":' * 2000, b"[" * 1_048_576])
 def test_deeply_nested_server_record_is_unreadable(value):
