Take an entry under an id that no header can carry for unreadable

A server's id is sent in a header of each request to it. An entry of another writer under an id with other characters than ASCII was used like any server's, and a request that chose it failed in the daemon with a UnicodeEncodeError; an id with a line break added headers to the request.

Cause: the decoder looked at the entry's value, not at the key. Ids must be a header value now, names of services and failure domains must be Unicode texts. The pattern is that of workspaces' names.

--- a/marigoldwalk/platform/records.py
+++ b/marigoldwalk/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
@@ -38,9 +39,12 @@
 KEY_PREFIXES = ("op/", SERVER_PREFIX)
 """Prefixes of all keys that the gateway reads."""
 
+MAX_NAME_CHARS = 1000
 MAX_INTEGER = 2**53
 """Largest number of a record; some JSON parsers do not represent larger integers exactly."""
 
+_HEADER_VALUE = r"^[!-~]([ -~]*[!-~])?$"
+"""Pattern of the names that are sent in a header."""
 _SAFE = "safe"
 _DRAINING = "draining"
 
@@ -57,6 +61,8 @@
     )
 
 
+# An unpaired surrogate is refused in texts of bounded length only.
+_Name = Annotated[str, Field(max_length=MAX_NAME_CHARS)]
 _Count = Annotated[int, Field(ge=1, le=MAX_INTEGER)]
 _Number = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 _Milliseconds = Annotated[float, Field(ge=0, le=MAX_INTEGER)]
@@ -100,8 +106,7 @@
 
 
 class _TenantRecord(_Record):
-    # The name is sent in a header.
-    name: str = Field(pattern=r"^[!-~]([ -~]*[!-~])?$")
+    name: str = Field(pattern=_HEADER_VALUE)
     api_keys: tuple[Annotated[str, Field(min_length=1)], ...] = ()
     priority: int | None = None
     rate_per_s: float | None = Field(default=None, ge=0)
@@ -122,9 +127,9 @@
 
     model_config = ConfigDict(strict=True)
 
-    service: str = Field(min_length=1)
+    service: Annotated[_Name, Field(min_length=1)]
     address: str
-    zone: str
+    zone: _Name
     slots: _Count
     state: Literal["ready", "draining"]
     cold_left_ms: _Milliseconds
@@ -184,6 +189,8 @@
 def _decode_server(server_id: str, value: bytes | None) -> ServerUpdate | ServerRemoved:
     if value is None:
         return ServerRemoved(server_id)
+    if not re.fullmatch(_HEADER_VALUE, server_id):
+        return ServerRemoved(server_id, is_unreadable=True)
     try:
         record = _ServerRecord.model_validate(decode_json(value))
         address = parse_server_address(record.address)
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -377,3 +377,16 @@
             daemon.wait_until_ready()
         finally:
             daemon.kill()
+
+
+def test_entry_with_an_id_that_no_header_carries_costs_callers_nothing():
+    """A request to such a server failed in the daemon while it was sent."""
+    with deployment() as (daemon, store):
+        server = StandinServer("i-2", b"the whole body")
+        with stopping(server):
+            store.put("servers/i-\u4e2d", server.registration("s-1"))
+            store.put("servers/i-2\r\nX-Smuggled: 1", server.registration("s-1"))
+            unreadable = daemon.gateway.world.counters
+            wait_until(lambda: unreadable["registration.unreadable"] == 2)
+            statuses = {ask(daemon, request(request_id=f"q-{n}"))[0][0] for n in range(20)}
+    assert statuses == {200}
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -3,6 +3,8 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from marigoldwalk.config.view import Address
 from marigoldwalk.gateway.store_interface import (
@@ -100,6 +102,39 @@
     assert decode_item("servers/i-1", text.encode()) == ServerRemoved("i-1", is_unreadable=True)
 
 
+# Guards against ids that no header can carry, or that would add headers to a request.
+@pytest.mark.parametrize("server_id", ["", "i-\u4e2d", "i-\x00", "i-1\r\nX: y", " i-1", "\ud800"])
+def test_server_record_under_an_id_that_no_header_carries_is_unreadable(server_id):
+    update = decode_item(f"servers/{server_id}", encoded(SERVER))
+    assert update == ServerRemoved(server_id, is_unreadable=True)
+
+
+_FIELD_VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.integers(min_value=10**15),
+    st.floats(),
+    st.text(),
+    st.sampled_from(["ready", "10.0.0.9:8080", "10.0.0.9:70000", "\ud800", [], {}]),
+)
+
+
+@given(st.dictionaries(st.sampled_from(sorted(SERVER)), _FIELD_VALUES), st.text(max_size=5))
+def test_any_server_record_is_unreadable_or_a_registration_that_can_be_used(changes, server_id):
+    update = decode_item(f"servers/{server_id}", encoded(SERVER | changes))
+    if isinstance(update, ServerRemoved):
+        assert update.is_unreadable
+        return
+    registration = update.registration
+    assert registration.server_id.isascii()
+    assert registration.server_id.isprintable()
+    assert 1 <= registration.address.port <= 65_535
+    numbers = (registration.slots, registration.sequence, registration.started_at_ms)
+    assert max(*numbers, registration.cold_left_s) <= 2**53
+    (registration.service + registration.domain).encode()
+
+
 # Guards against entries that are nested too deeply for the decoder, which stopped all reading.
 @pytest.mark.parametrize("value", [b"[" * 2000, b'{"a":' * 2000, b"[" * 1_048_576])
 def test_deeply_nested_server_record_is_unreadable(value):
