Refuse reports of daemons with values out of range

One datagram with a member whose port is above 65,535 ended the greenlet that receives gossip: sending the answer raised OverflowError, which is no OSError. The daemon then took all others for gone. An incarnation near 2**63 ended the greenlet that sends, since the daemon raises its own above it.

Cause: ports of entries in the store were checked, those of reports were not. A report has an IPv4 address with a port in range, numbers that fit their fields and a finite share of processor time, or it is left out; a datagram is refused if its sender's own report is one of them. An error while a datagram is handled no longer ends the greenlet, and is logged and counted (gossip.fault).

The form of the messages is unchanged, so earlier builds read them as before.

--- a/marigoldwalk/gateway/gossip.py
+++ b/marigoldwalk/gateway/gossip.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+import math
 import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
+from ..config.addresses import parse_address
 from ..config.view import Address
 from ..routing.membership import MemberReport
 from ..routing.suspects import Crash, Evidence
@@ -40,6 +42,8 @@
 MAX_NEWS_REPORTS = 14
 """Maximum number of reports of members in a datagram of urgent news, which fits into one packet."""
 MAX_DATAGRAM_BYTES = 65_535
+MAX_NUMBER = 2**53
+"""Largest incarnation and heartbeat; a daemon raises them, and they must still fit their fields."""
 MAX_NAMES_LOGGED = 12
 
 
@@ -134,15 +138,23 @@
             if message is None:
                 self._counters["gossip.malformed"] += 1
                 continue
-            now = self._now()
-            self._receive_quota(message, Address(*source), now)
-            if message.quota is not None:
-                continue
-            self._merge_evidence(message, now)
-            if self._membership.merge(message.reports, now):
-                answer = encode(self._membership.reports(now), self._suspects.evidence(now))
-                self._send(answer, message.reports[0].address)
-            self._report_members()
+            try:
+                self._handle(message, Address(*source))
+            except Exception:
+                # If this greenlet ended, the daemon would take all others for dead.
+                logger.exception("unexpected error while handling gossip")
+                self._counters["gossip.fault"] += 1
+
+    def _handle(self, message: GossipMessage, source: Address) -> None:
+        now = self._now()
+        self._receive_quota(message, source, now)
+        if message.quota is not None:
+            return
+        self._merge_evidence(message, now)
+        if self._membership.merge(message.reports, now):
+            answer = encode(self._membership.reports(now), self._suspects.evidence(now))
+            self._send(answer, message.reports[0].address)
+        self._report_members()
 
     def _receive_quota(self, message: GossipMessage, source: Address, now: float) -> None:
         if self._quota_exchange is None:
@@ -215,21 +227,7 @@
     try:
         gossip.read(TBinaryProtocolAccelerated(TMemoryBuffer(datagram)))
         gossip.validate()
-        reports = [
-            MemberReport(
-                m.name,
-                Address(m.host, m.port),
-                m.incarnation,
-                m.heartbeat,
-                m.domain,
-                m.cores,
-                m.leaving,
-                m.isolated,
-                m.turned_away,
-            )
-            for m in gossip.members
-            if _is_complete(m)
-        ]
+        reports = _decode_members(gossip.members)
         evidence = [_decode_evidence(e) for e in gossip.evidence]
         quota = decode_quota(gossip.quota)
     except Exception as exc:  # noqa: BLE001 (thrift raises many kinds on malformed bytes)
@@ -238,6 +236,46 @@
     return GossipMessage(tuple(reports), tuple(evidence), quota)
 
 
+def _decode_members(records: Sequence[ttypes.Member]) -> list[MemberReport]:
+    """Return the valid reports in *records*; raises ``ValueError`` if the sender's own is not.
+
+    The sender passes on what it has heard, so the other reports are not its fault.
+    """
+    reports: list[MemberReport] = []
+    for number, record in enumerate(records):
+        try:
+            reports.append(_decode_member(record))
+        except ValueError as exc:
+            if number == 0:
+                raise
+            logger.debug("invalid report of a member: %r", exc)
+    return reports
+
+
+def _decode_member(record: ttypes.Member) -> MemberReport:
+    """Return the report in *record*; raises ``ValueError`` if fields are missing or out of range.
+
+    Datagrams and requests are sent to the address, and the numbers are encoded again.
+    """
+    if not _is_complete(record):
+        raise ValueError("a field is missing")
+    if not 0 <= record.incarnation <= MAX_NUMBER or not 0 <= record.heartbeat <= MAX_NUMBER:
+        raise ValueError("the incarnation or the heartbeat is out of range")
+    if not 0 < record.cores < math.inf:
+        raise ValueError("the processor time is out of range")
+    return MemberReport(
+        record.name,
+        parse_address(f"{record.host}:{record.port}"),
+        record.incarnation,
+        record.heartbeat,
+        record.domain,
+        record.cores,
+        record.leaving,
+        record.isolated,
+        record.turned_away,
+    )
+
+
 def _encode_evidence(evidence: Evidence) -> ttypes.Evidence:
     crashes = [
         ttypes.Crash(c.server, c.service, c.occasion, int(c.age_s * 1000), c.is_trial)
--- a/marigoldwalk/gateway/quota_messages.py
+++ b/marigoldwalk/gateway/quota_messages.py
@@ -91,6 +91,8 @@
 
 def _decode_answer(record: ttypes.QuotaAnswer) -> QuotaAnswer:
     record.validate()
+    if record.room_ms < 0 or record.retry_ms < 0:
+        raise ValueError("the time of an answer is negative")
     return QuotaAnswer(
         record.number,
         record.granted,
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -1,14 +1,18 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 import gevent
+import pytest
+from gevent import socket
 from hypothesis import given
 from hypothesis import strategies as st
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
 from marigoldwalk.config.view import Address
+from marigoldwalk.gateway import gossip as gossip_module
 from marigoldwalk.gateway.gossip import GossipTransport, decode, encode
 from marigoldwalk.routing.membership import MemberReport, Membership
 from marigoldwalk.routing.suspects import Crash, Evidence, Suspects
@@ -61,6 +65,52 @@
     decode(bytes(data))
 
 
+OUT_OF_RANGE = [
+    replace(REPORT, address=Address("10.0.0.1", 70_000)),
+    replace(REPORT, address=Address("10.0.0.1", -1)),
+    replace(REPORT, address=Address("host.example", 7000)),
+    replace(REPORT, incarnation=2**63 - 1),
+    replace(REPORT, heartbeat=-1),
+    replace(REPORT, cores=float("nan")),
+    replace(REPORT, cores=float("inf")),
+]
+
+
+@pytest.mark.parametrize("report", OUT_OF_RANGE)
+def test_report_with_a_value_out_of_range_is_invalid(report):
+    assert decode(encode([report, REPORT], [])) is None
+    assert decode(encode([REPORT, report, REPORT], [])).reports == (REPORT, REPORT)
+
+
+@pytest.mark.parametrize("report", OUT_OF_RANGE)
+def test_daemon_goes_on_with_gossip_after_a_report_out_of_range(report, monkeypatch):
+    """A port out of range ended the greenlet that receives, and the daemon lost all others."""
+    monkeypatch.setattr(gossip_module, "FAST_ROUND_INTERVAL_S", 0.005)
+    own = MemberReport("m-0", Address("127.0.0.1", 0), 1, 0, "north")
+    membership = Membership(own, [], 0.0)
+    transport = GossipTransport(
+        membership, Suspects(), own.address, Clock().now, Counter(), lambda: None
+    )
+    sender = socket.socket(type=socket.SOCK_DGRAM)
+    target = ("127.0.0.1", transport.address[1])
+    transport.start()
+    try:
+        sender.sendto(encode([replace(report, name="m-0")], []), target)
+        sender.sendto(encode([report], []), target)
+        gevent.sleep(0.05)
+        sender.sendto(encode([replace(REPORT, name="m-2")], []), target)
+        with gevent.Timeout(TEST_TIMEOUT_S):
+            while membership.last_heartbeat_at("m-2") < 0:
+                gevent.sleep(0.005)
+        heartbeat = membership.own.heartbeat
+        with gevent.Timeout(TEST_TIMEOUT_S):
+            while membership.own.heartbeat == heartbeat:
+                gevent.sleep(0.005)
+    finally:
+        transport.stop()
+        sender.close()
+
+
 def test_two_daemons_discover_each_other_over_udp():
     clock = Clock()
     daemons = []
