Bound what one entry or answer of the store can cost

Pages that do not advance were read for ever. They are a StoreError now, for which the daemon keeps what it has and asks again.

An entry whose decoding raises anything is unreadable and logged with its key, so that no exception that a decoder does not expect can stop the reading of the other entries again.

--- a/marigoldwalk/platform/store.py
+++ b/marigoldwalk/platform/store.py
@@ -34,6 +34,7 @@
 
 CALL_TIMEOUT_S = 0.8
 """Response timeout; the store normally takes 4 ms, and a slow store a hundred times that."""
+MAX_ERA_DIGITS = 15
 _GONE = 410
 
 
@@ -118,6 +119,8 @@
                 items += found
                 is_last = not page.get("has-more") or not found
                 if found:
+                    if found[-1]["key"] <= query.get("after", ""):
+                        raise StoreError(f"{self._address} returns the same page again")
                     query["after"] = found[-1]["key"]
         return _Snapshot(items, min(revisions), era)
 
@@ -135,7 +138,7 @@
         try:
             connection = self._connect(timeout_s)
             reply = connection.exchange("GET", f"{path}?{urlencode(query)}", None, {})
-        except (OSError, http.client.HTTPException) as exc:
+        except (OSError, UnicodeError, http.client.HTTPException) as exc:
             self.close()
             raise StoreError(f"{path}: {exc!r}") from exc
         if reply.status == _GONE:
@@ -168,7 +171,8 @@
 def _era_of(reply: Reply) -> int:
     """Return the era in which the response was given; unknown if it states none."""
     text = reply.headers.get(ERA_HEADER, "")
-    return int(text) if text.isascii() and text.isdecimal() else UNKNOWN_ERA
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_number else UNKNOWN_ERA
 
 
 def _validated(path: str, body: bytes) -> dict[str, Any]:
@@ -177,7 +181,8 @@
         answer = decode_json(body)
         entries = answer.get("items", answer.get("events", []))
         is_valid = isinstance(answer["current-rev"], int) and all(
-            isinstance(entry["key"], str) for entry in entries
+            isinstance(entry["key"], str) and isinstance(entry["revision"], int)
+            for entry in entries
         )
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise StoreError(f"{path}: the answer cannot be read ({exc!r})") from exc
@@ -193,12 +198,12 @@
 
 def _decode(item: dict[str, Any]) -> StoreUpdate | None:
     """Return the update in an item or event, or ``None`` if there is none."""
+    key = item["key"]
     if item.get("tombstone"):
-        return decode_item(item["key"], None)
+        return decode_item(key, None)
     try:
-        value = b64decode(item.get("value", ""))
-    except (ValueError, TypeError) as exc:
-        fields = {"key": item["key"], "why": repr(exc)}
+        return decode_item(key, b64decode(item.get("value", "")))
+    except Exception as exc:  # noqa: BLE001 (one entry must not stop the reading of the others)
+        fields = {"key": key, "why": repr(exc)}
         logger.warning("cannot decode value from the store", extra={"fields": fields})
-        value = b""
-    return decode_item(item["key"], value)
+        return decode_item(key, b"")
--- a/standins/gateway_backends.py
+++ b/standins/gateway_backends.py
@@ -27,6 +27,9 @@
     "no key": '{"items": [{"value": ""}], "current-rev": 9}',
     "null items": '{"items": null, "current-rev": 9}',
     "nested": "[" * 2000,
+    "same page": '{"items": [{"key": "a", "revision": 9}], "has-more": true, "current-rev": 9}',
+    "key": '{"items": [{"key": "\\ud800", "revision": 9}], "has-more": true, "current-rev": 9}',
+    "no item revision": '{"items": [{"key": "op/config", "value": ""}], "current-rev": 9}',
 }
 """Malformed replies of the store, by the name of the failure."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
 )
 from marigoldwalk.platform import store as store_module
 from marigoldwalk.platform.mirror import Mirror
+from marigoldwalk.platform.records import decode_item
 from marigoldwalk.platform.store import StoreClient
 from standins.gateway_backends import (
     MALFORMED_REPLIES,
@@ -107,6 +108,30 @@
     assert client.read().updates == (ServerRemoved("i-1", is_unreadable=True),)
 
 
+def test_entry_whose_decoding_fails_costs_no_other_entry(standin, client, monkeypatch):
+    """An exception that no decoder expects stopped all reading of the store."""
+    fill(standin, 2)
+
+    def decode(key, value):
+        if key == "servers/i-1" and value:
+            raise RuntimeError("unexpected")
+        return decode_item(key, value)
+
+    monkeypatch.setattr(store_module, "decode_item", decode)
+    updates = client.read().updates
+    assert ServerRemoved("i-1", is_unreadable=True) in updates
+    assert sorted(type(update).__name__ for update in updates) == [
+        "ConfigUpdate",
+        "ServerRemoved",
+        "ServerUpdate",
+    ]
+
+
+def test_era_that_is_no_number_is_unknown(standin, client):
+    standin.era = "9" * 5000
+    assert client.read().era == UNKNOWN_ERA
+
+
 def test_stale_read_is_brought_up_to_date_by_a_watch(standin, client):
     fill(standin, 3)
     standin.delete("servers/i-1")
