Take a reply that ends within its head for lost

http.client ends the headers of a message at an empty line or at the end of the stream. A reply whose sender stopped in the middle of its head was a complete 200 with an empty body for all readers that use it: the store's client (the era may be cut too), the product's own daemon, which took such a reply for a confirmed cancellation, and the client library.

The head is now read through a reader that raises at the end of the stream; it is the response class of all three kinds of connection.

--- a/marigoldwalk/client/exchange.py
+++ b/marigoldwalk/client/exchange.py
@@ -11,12 +11,18 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from ..util.http_heads import WholeHeadResponse
+
 if TYPE_CHECKING:
     from ..config.view import Address
 
 _HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
 
 
+class _Connection(HTTPConnection):
+    response_class = WholeHeadResponse
+
+
 @dataclass(frozen=True, slots=True)
 class ExchangeFailure:
     """A falsy result: no usable reply arrived.
@@ -42,7 +48,7 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._conn = HTTPConnection(address.host, address.port)
+        self._conn = _Connection(address.host, address.port)
         self._lock = threading.Lock()
         self._cancelled = False
         self._sent = False
--- a/marigoldwalk/util/gevent_http.py
+++ b/marigoldwalk/util/gevent_http.py
@@ -9,6 +9,8 @@
 
 from gevent import socket as gevent_socket
 
+from .http_heads import WholeHeadResponse
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -26,6 +28,8 @@
 class GeventConnection(http.client.HTTPConnection):
     """A connection on gevent's sockets, whether or not the process is monkey-patched."""
 
+    response_class = WholeHeadResponse
+
     _unsent_parts: list[bytes] | None = None
     """Parts of the request that is being written; ``exchange`` sends them together."""
 
--- a/marigoldwalk/util/gevent_pool.py
+++ b/marigoldwalk/util/gevent_pool.py
@@ -8,10 +8,14 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from .http_heads import WholeHeadResponse
+
 
 class _PooledConnection(HTTPConnection):
     """A connection on gevent's sockets, whether or not the process is monkey-patched."""
 
+    response_class = WholeHeadResponse
+
     def connect(self) -> None:
         """Open the connection.
 
