Refuse a request that ends within its head

A caller that closed its connection, or its sending side, while it sent the head of a request had the request run: a POST without its body, or under a part of the request id that no caller had sent.

--- a/marigoldwalk/daemon/http_server.py
+++ b/marigoldwalk/daemon/http_server.py
@@ -11,6 +11,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from ..util.disconnects import has_input
+from ..util.http_heads import HeadReader, IncompleteHeadError
 
 if TYPE_CHECKING:
     import socket
@@ -64,9 +65,12 @@
 class TimeLimitedHandler(WSGIHandler):
     """A handler that closes the connections of callers that are too slow."""
 
-    def MessageClass(self, *args: Any) -> Any:
-        """Return the headers, with a note of a stated length, which pywsgi drops beside chunks."""
-        headers = super().MessageClass(*args)
+    def MessageClass(self, stream: Any, *args: Any) -> Any:
+        """Return the headers, with a note of a stated length, which pywsgi drops beside chunks.
+
+        Raises ``IncompleteHeadError`` if the connection is closed before their end.
+        """
+        headers = super().MessageClass(HeadReader(stream), *args)
         headers.has_length = "content-length" in headers
         return headers
 
@@ -91,8 +95,11 @@
         """Read the headers of a request.
 
         Raises ``AmbiguousLengthError`` if they state both a length and chunks, since another server
-        on the way may have taken a different part of the data for the body (request smuggling).
+        on the way may have taken a different part of the data for the body (request smuggling), and
+        ``IncompleteHeadError`` if the connection is closed before their end.
         """
+        if not raw_requestline.endswith("\n"):
+            raise IncompleteHeadError("the connection was closed within the first line")
         header_s = self.server.caller_timeouts().header_s
         with gevent.Timeout(header_s, TimeoutError("the headers did not arrive in time")):
             is_valid = super().read_request(raw_requestline)
@@ -102,7 +109,7 @@
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Return the response to a request that cannot be read; overrides a hook of pywsgi."""
-        if isinstance(ex, AmbiguousLengthError):
+        if isinstance(ex, (AmbiguousLengthError, IncompleteHeadError)):
             self.server.on_malformed(str(ex))
             return _BAD_REQUEST_RESPONSE
         if isinstance(ex, TimeoutError):
