Take an answer that switches protocols for malformed

httptools reports such an answer with HttpParserUpgrade, which is not among its parser errors. The exception left the event loop's callback, and the caller waited for its deadline while the attempt kept a slot of the server in use. It is malformed like any answer that is none to the request.

Evidence: the new test waits without an end at the commit before and passes now. The test beside it cuts replies of three framings at each byte of their head; it passes before and after, so on connections to servers a cut head never was a success.

--- a/marigoldwalk/gateway/connection.py
+++ b/marigoldwalk/gateway/connection.py
@@ -243,7 +243,7 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(LossReason.MALFORMED, str(exc))
             return
         self._deliver()
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -16,10 +16,11 @@
     ReplyMemory,
     ServerConnection,
 )
-from marigoldwalk.routing.exchanges import LossReason
+from marigoldwalk.routing.exchanges import LossReason, LostAttempt
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
 from .backend import decode, exchange, open_connection, response
+from .closing import closing_server
 
 
 def outcome_of(*script):
@@ -57,6 +58,31 @@
     assert connection.state is ConnectionState.CLOSED
 
 
+FRAMINGS = [
+    response(b"the body"),
+    response(b"the body", length=False),
+    response(b"8\r\nthe body\r\n0\r\n\r\n", headers=["Transfer-Encoding: chunked"], length=False),
+]
+
+
+# Guards against answers whose server has stopped in the middle of the head.
+@pytest.mark.parametrize("reply", FRAMINGS, ids=["length", "stream", "chunks"])
+def test_reply_that_ends_within_its_head_counts_as_lost(reply):
+    with closing_server() as server:
+        for end in range(reply.index(b"\r\n\r\n") + 4):
+            server.reply = reply[:end]
+            outcome = exchange(open_connection(server.address))
+            assert isinstance(outcome, LostAttempt), reply[:end]
+            assert outcome.may_have_run
+
+
+# Guards against answers that switch protocols, after which the attempt stayed open.
+def test_reply_that_switches_protocols_counts_as_malformed():
+    switching = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+    outcome, _ = outcome_of(switching + response(b"ok"))
+    assert outcome.reason is LossReason.MALFORMED
+
+
 def test_truncated_reply_counts_as_lost():
     with scripted(response(b"half", length=9), None) as server:
         connection = open_connection(server.address)
