Refuse requests that come too late in a planned stop

While a machine was stopped and connections still came, which they do until the balancer notices and longer if few daemons of a failure domain are left, requests were accepted and passed on to servers until half a second before the end. Then they were aborted with the HTTP server's own 500, those that had not reached a server among them, and those that must not be repeated. A delegate did the same with queries of sound daemons, whose callers got the 500.

Cause: nothing bounded a request by the end of the grace period. Now all requests, also those in progress, are answered 0.8 s before it: not run is 503, begun is 504, a query the parts that it has. A new request is refused at once with 503 'stopping' if its route's target, or twice that if it must not be repeated, does not fit into what is left. That holds for callers' requests, for those of other daemons (421, so that they run them themselves) and for those handed to a delegate. The listener is closed before the last answers, so that requests in transit still get theirs; requests that wait for the first read of the store pass at once. The messages between daemons are unchanged.

--- a/marigoldwalk/errors.py
+++ b/marigoldwalk/errors.py
@@ -105,6 +105,7 @@
     """Why the gateway answered a request itself, without a backend server's response."""
 
     NOT_READY = "not_ready"
+    STOPPING = "stopping"
     NO_ROUTE = "no_route"
     MISSING_KEY = "missing_key"
     UNKNOWN_KEY = "unknown_key"
--- a/marigoldwalk/gateway/application.py
+++ b/marigoldwalk/gateway/application.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent.event import Event
 
-from ..daemon.http_server import CallerTimeouts, make_server
+from ..daemon.http_server import ARRIVAL_GRACE_S, CallerTimeouts, make_server
 from ..daemon.log_output import NonBlockingHandler
 from ..daemon.logs import configure_logs
 from ..metrics.recorder import Recorder
@@ -54,6 +54,8 @@
 come once a second, and their response times."""
 FORCED_STOP_MARGIN_S = 0.5
 """Time before the end of the grace period at which the daemon aborts the remaining requests."""
+LAST_ANSWER_MARGIN_S = 0.3
+"""Time before that at which it answers all requests that it has accepted."""
 DRAIN_POLL_S = 0.02
 
 
@@ -138,6 +140,8 @@
         )
         self._on_members_changed()
         self._stop_requested = Event()
+        self._stop_at = float("inf")
+        """When a requested stop aborts what is left."""
 
     def _caller_timeouts(self) -> CallerTimeouts:
         """Return the time limits for callers from the current configuration."""
@@ -247,8 +251,11 @@
 
     def request_stop(self) -> None:
         """Start a planned stop: report not ready, and close connections after their answers."""
+        if self._frontend.is_stopping:
+            return
         logger.info("stop requested", extra={"fields": {"open": self._caller_server.open_requests}})
-        self._frontend.is_stopping = True
+        self._stop_at = self._clock.now() + self.settings.grace_s - FORCED_STOP_MARGIN_S
+        self._frontend.begin_stop(self._stop_at - LAST_ANSWER_MARGIN_S)
         self._membership.leave()
         self._stop_requested.set()
 
@@ -257,14 +264,19 @@
         logger.info("reload requested")
 
     def _drain(self) -> None:
-        """Serve until the balancer stops sending connections and open requests have ended."""
-        started_at = self._clock.now()
+        """Serve until the balancer stops sending connections and open requests have ended.
+
+        If the balancer goes on, requests in transit still have to be read and refused before the
+        daemon ends, so the listener is closed before the last answers are due.
+        """
         gevent.sleep(min(BALANCER_NOTICE_S, self.settings.grace_s / 2))
         self._caller_server.close_idle()
-        stop_at = started_at + self.settings.grace_s - FORCED_STOP_MARGIN_S
-        while self._clock.now() < stop_at and self._has_open_requests():
+        close_at = self._stop_at - LAST_ANSWER_MARGIN_S - ARRIVAL_GRACE_S
+        while self._clock.now() < close_at and self._has_open_requests():
+            gevent.sleep(DRAIN_POLL_S)
+        self._caller_server.drain(max(0.0, self._stop_at - self._clock.now()))
+        while self._clock.now() < self._stop_at and self._frontend.open_peer_requests:
             gevent.sleep(DRAIN_POLL_S)
-        self._caller_server.drain(max(0.0, stop_at - self._clock.now()))
 
     def _is_fresh(self) -> bool:
         return self._store_watcher.is_fresh()
--- a/marigoldwalk/gateway/delegate_client.py
+++ b/marigoldwalk/gateway/delegate_client.py
@@ -96,6 +96,8 @@
         self._now = now
         self._counters = counters
         self._endpoints: dict[Address, _DelegateEndpoint] = {}
+        self._waiting: set[AsyncResult] = set()
+        """The results of the requests in progress."""
 
     def forward(
         self, exchange: Exchange, head: bytes, sock: socket.socket
@@ -123,6 +125,11 @@
         wait_s = max(exchange.give_up_at - now, 0.0)
         return self._forward_to(delegate, exchange, head, sock, wait_s, body)
 
+    def give_up(self) -> None:
+        """End the requests in progress as lost, since this daemon is stopping."""
+        for result in list(self._waiting):
+            result.set(DelegateFailure.LOST)
+
     def _overdue_after_s(self, exchange: Exchange) -> float:
         """Return the time from now after which a delegate without an answer may be lost."""
         elapsed_s = self._now() - exchange.request.received_at
@@ -178,14 +185,18 @@
         if request.workspace is not None:
             headers.append((WORKSPACE_HEADER, request.workspace.name))
         data = head + encode_headers(headers) + b"\r\n" + body
-        with DisconnectWatch(sock, lambda: result.set(DelegateFailure.CALLER_LEFT)):
-            connection.request(data, result.set, lambda raw: raw)
-            overdue_s = min(self._overdue_after_s(exchange), wait_s)
-            outcome = result.wait(overdue_s)
-            if outcome is None and overdue_s < wait_s:
-                # It may only be slow, but others are asked meanwhile.
-                self._delegation.record_overdue(delegate, self._now())
-                outcome = result.wait(wait_s - overdue_s)
+        self._waiting.add(result)
+        try:
+            with DisconnectWatch(sock, lambda: result.set(DelegateFailure.CALLER_LEFT)):
+                connection.request(data, result.set, lambda raw: raw)
+                overdue_s = min(self._overdue_after_s(exchange), wait_s)
+                outcome = result.wait(overdue_s)
+                if outcome is None and overdue_s < wait_s:
+                    # It may only be slow, but others are asked meanwhile.
+                    self._delegation.record_overdue(delegate, self._now())
+                    outcome = result.wait(wait_s - overdue_s)
+        finally:
+            self._waiting.discard(result)
         if not isinstance(outcome, RawReply):
             connection.close()
         self._pool.release(endpoint, connection)
--- a/marigoldwalk/gateway/executor.py
+++ b/marigoldwalk/gateway/executor.py
@@ -81,6 +81,12 @@
         self._rearm_timer(active)
         return active
 
+    def begin_stop(self, answer_by: float) -> None:
+        """Answer all requests until *answer_by*."""
+        self._router.begin_stop(answer_by)
+        for active in list(self._active.values()):
+            self._rearm_timer(active)
+
     def caller_left(self, active: ActiveExchange) -> None:
         """Cancel an exchange whose caller has disconnected."""
         self._router.caller_left(active.exchange, self._now())
--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -67,6 +67,8 @@
         quota_exchange: QuotaExchange,
     ) -> None:
         self.is_stopping = False
+        self.open_peer_requests = 0
+        """Number of requests in progress that other daemons have handed to this one."""
         self._router = router
         self._executor = executor
         self._delegate_client = delegate_client
@@ -92,7 +94,9 @@
         if isinstance(exchange, ErrorAnswer):
             self._reporter.refused(parsed.request, exchange)
             return self._respond(environ, start_response, exchange)
-        refusal = self._quota_exchange.admit(exchange)
+        refusal = self._router.late_refusal(exchange, self._now())
+        if refusal is None:
+            refusal = self._quota_exchange.admit(exchange)
         if refusal is not None:
             self._reporter.refused(parsed.request, refusal)
             return self._respond(environ, start_response, refusal)
@@ -109,6 +113,13 @@
                 return self._respond(environ, start_response, answer)
         return self._run_locally(exchange, parsed.body, environ, start_response)
 
+    def begin_stop(self, answer_by: float) -> None:
+        """Close connections after their answers, and answer all requests until *answer_by*."""
+        self.is_stopping = True
+        self._start_gate.open("the daemon is stopping")
+        self._executor.begin_stop(answer_by)
+        gevent.spawn_later(max(answer_by - self._now(), 0.0), self._delegate_client.give_up)
+
     def record_malformed(self, why: str) -> None:
         """Report a request that the HTTP server has rejected before it read the body."""
         logger.info("invalid request headers", extra={"fields": {"why": why}})
@@ -118,6 +129,15 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer a request that another daemon hands to this one; it is not handed on."""
+        self.open_peer_requests += 1
+        try:
+            return self._answer_peer(environ, start_response)
+        finally:
+            self.open_peer_requests -= 1
+
+    def _answer_peer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
         elapsed_ms = environ.get(ELAPSED_KEY, "")
         version = environ.get(VERSION_KEY, "")
         is_valid = _is_number(elapsed_ms) and version.isdecimal()
@@ -138,6 +158,8 @@
             # The forwarding daemon may not know yet that the content crashes servers.
             self._reporter.refused(parsed.request, exchange)
             return self._respond(environ, start_response, exchange)
+        if self._router.late_refusal(exchange, self._now()) is not None:
+            return self._respond(environ, start_response, _DELEGATION_REFUSED)
         answer = self._execute(exchange, parsed.body, environ)
         if _is_unreachable(answer):
             answer = _DELEGATION_STOPPED if exchange.may_have_run else _DELEGATION_REFUSED
--- a/marigoldwalk/routing/finishing.py
+++ b/marigoldwalk/routing/finishing.py
@@ -67,7 +67,7 @@
     if task.state is TaskState.FAILED:
         return _failure_answer(world, exchange, task)
     if world.now >= exchange.give_up_at:
-        return _deadline_answer(exchange)
+        return _deadline_answer(world, exchange)
     return None
 
 
@@ -121,10 +121,12 @@
     return ErrorAnswer(503, RefusalReason.SERVERS_LIMITED, retry_after_s * (1.0 + spread))
 
 
-def _deadline_answer(exchange: Exchange) -> ErrorAnswer:
+def _deadline_answer(world: RoutingWorld, exchange: Exchange) -> ErrorAnswer:
+    is_stopped = exchange.give_up_at >= world.answer_by
+    reason = RefusalReason.STOPPING if is_stopped else RefusalReason.DEADLINE
     if exchange.may_have_run:
-        return ErrorAnswer(504, RefusalReason.DEADLINE)
-    return ErrorAnswer(503, RefusalReason.DEADLINE, RETRY_AFTER_S)
+        return ErrorAnswer(504, reason)
+    return ErrorAnswer(503, reason, RETRY_AFTER_S)
 
 
 def _fan_out_answer(world: RoutingWorld, exchange: Exchange) -> Answer | None:
@@ -139,7 +141,7 @@
     if is_covered and world.now >= exchange.target_at:
         return _merge(exchange)
     if world.now >= exchange.give_up_at:
-        return _deadline_answer(exchange)
+        return _deadline_answer(world, exchange)
     return None
 
 
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -18,6 +18,7 @@
     serve_queue,
     start_tasks,
 )
+from .stopping import begin_stop, late_refusal
 from .suspects import EVIDENCE_TTL_S
 
 if TYPE_CHECKING:
@@ -113,6 +114,14 @@
         finish_if_due(self.world, exchange)
         return self._take_actions()
 
+    def begin_stop(self, answer_by: float) -> None:
+        """Answer all requests until *answer_by*, when this daemon ends."""
+        begin_stop(self.world, answer_by)
+
+    def late_refusal(self, exchange: Exchange, now: float) -> ErrorAnswer | None:
+        """Return why a new exchange is refused if this daemon ends too soon for it."""
+        return late_refusal(self.world, exchange, now)
+
     @property
     def is_isolated(self) -> bool:
         """Whether this daemon reaches no server, so that others must run the requests."""
@@ -223,7 +232,8 @@
         delay_s = self.world.limits.caller_delay_s
         margin_s = ANSWER_MARGIN_S + delay_s
         deadline_at = min(request.deadline_at, request.received_at + route.timeout_s)
-        give_up_at = max(deadline_at - margin_s, request.received_at)
+        give_up_at = min(deadline_at - margin_s, self.world.answer_by)
+        give_up_at = max(give_up_at, request.received_at)
         lag_s = min(self.world.answer_lag.lag_s, LAG_SHARE * route.target_s)
         target_at = request.received_at + route.target_s - margin_s - delay_s - lag_s
         return Exchange(request, route, version, min(target_at, give_up_at), give_up_at)
--- a/marigoldwalk/routing/world.py
+++ b/marigoldwalk/routing/world.py
@@ -75,6 +75,8 @@
         self.shard_share = 1.0
         """This daemon's share of the fleet-wide limits for the servers of shards."""
         self.admission = Admission()
+        self.answer_by = float("inf")
+        """Latest time at which callers can be answered, since this daemon is stopping."""
         self.is_delegate = False
         """Whether this daemon executes the fan-out queries of other daemons."""
         self.slot_reserve = SlotReserve()
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -15,6 +15,13 @@
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
 from .daemons import Daemon, ask, deployment, read_response, request, wait_until
 
+FAN_OUT = {"service": None, "fanout-services": ["s-1"], "top-k": 4, "min-coverage": 0.5}
+
+
+def delegate_report(daemon):
+    address = daemon.gateway.peer_address
+    return MemberReport("m-delegate", address, 1, 1, "north", 1.0)
+
 
 def slow_answer(server_id, pause_s):
     def answer(environ, start_response):
@@ -140,6 +147,93 @@
         assert stopped.get(timeout=TEST_TIMEOUT_S) == 0
 
 
+def ask_until_stopped(daemon, stopped, interval_s=0.05):
+    """Send requests that must not be repeated during a stop.
+
+    Returns a pair of time and response for each, with ``None`` where the listener was closed.
+    """
+    begun_at = time.monotonic()
+    results = []
+
+    def ask_once(number):
+        sent_at = time.monotonic() - begun_at
+        try:
+            sock = daemon.connect()
+        except OSError:
+            results.append((sent_at, None))
+            return
+        with sock, sock.makefile("rb") as stream:
+            sock.sendall(request(request_id=f"q-{number}", method="POST", body=b"x"))
+            results.append((sent_at, read_response(stream)))
+
+    callers = []
+    while not stopped.ready():
+        callers.append(gevent.spawn(ask_once, len(callers)))
+        gevent.sleep(interval_s)
+    gevent.joinall(callers, raise_error=True)
+    return results
+
+
+def test_request_that_comes_late_in_the_grace_period_is_refused_and_never_runs():
+    """Requests were passed on until the end of the grace period and then aborted, with a 500."""
+    server = StandinServer("i-1", answer=slow_answer("i-1", 0.3))
+    route = route_record(**{"route-kind": "unsafe", "target-latency-ms": 500})
+    with deployment([route], {"s-1": [server]}) as (daemon, _):
+        stopped = gevent.spawn(daemon.stop)
+        gevent.sleep(0)
+        results = ask_until_stopped(daemon, stopped, interval_s=0.2)
+    responses = [response for _, response in results if response is not None]
+    assert {status for status, _, _ in responses} == {200, 503}
+    # Status 503 is a promise that the request has not run.
+    assert len(server.requests) == sum(status == 200 for status, _, _ in responses)
+    refusals = [headers for status, headers, _ in responses if status == 503]
+    assert {headers["retry-after"] for headers in refusals} == {"0.000"}
+    assert daemon.gateway.world.counters["refusal.stopping"] == len(refusals)
+
+
+def test_request_that_outlasts_the_grace_period_is_answered_before_its_end():
+    """Such a request got a 500 of the HTTP server, whether or not it had reached a server."""
+    server = StandinServer("i-1", answer=slow_answer("i-1", 9.0))
+    route = route_record(**{"route-kind": "unsafe", "timeout-ms": 9000})
+    patient = ["X-Marigoldwalk-Deadline-Ms: 9000"]
+    with deployment([route], {"s-1": [server]}) as (daemon, _):
+        requests = [request(request_id=f"q-{n}", headers=patient) for n in range(8)]
+        callers = [gevent.spawn(ask, daemon, data) for data in requests]
+        wait_until(lambda: server.requests)
+        gevent.sleep(0.05)
+        stopped = gevent.spawn(daemon.stop)
+        statuses = [caller.get(timeout=TEST_TIMEOUT_S)[0][0] for caller in callers]
+        assert stopped.get(timeout=TEST_TIMEOUT_S) == 0
+    assert set(statuses) == {503, 504}
+    assert statuses.count(504) == len(server.requests)
+
+
+def test_stopping_delegate_refuses_a_late_query_and_the_caller_is_served(monkeypatch):
+    """A query that a stopping delegate accepted late was aborted, and its caller got the 500."""
+    servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
+    with deployment([route_record("/all/", **FAN_OUT)], servers) as (daemon, store):
+        delegate = Daemon(store)
+        delegate.wait_until_ready()
+        chosen = delegate_report(delegate)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
+        delegate.gateway._frontend.begin_stop(delegate.gateway._clock.now() + 0.5)
+        assert ask(daemon, request("/all/1"))[0][0] == 200
+        assert daemon.gateway.world.counters["carry.failed"] == 1
+        assert delegate.gateway.world.counters["send.own_domain"] == 0
+        delegate.kill()
+
+
+def test_stopping_daemon_does_not_wait_for_a_delegate_beyond_its_end(monkeypatch):
+    route = route_record("/all/", **FAN_OUT, **{"target-latency-ms": 4000})
+    with scripted(...) as silent, deployment([route]) as (daemon, _):
+        chosen = MemberReport("m-delegate", silent.address, 1, 1, "north", 1.0)
+        monkeypatch.setattr(Delegation, "choose", lambda *_: chosen)
+        caller = gevent.spawn(ask, daemon, request("/all/1"))
+        assert silent.request_received.wait(TEST_TIMEOUT_S)
+        daemon.gateway._frontend.begin_stop(daemon.gateway._clock.now() + 0.1)
+        assert caller.get(timeout=2.0)[0][0] == 502
+
+
 def test_stop_closes_idle_connections():
     with deployment() as (daemon, _), daemon.connect() as sock, sock.makefile("rb") as stream:
         sock.sendall(request())
@@ -168,14 +262,6 @@
     assert daemon.gateway.world.counters["lost.abandoned"] == 1
 
 
-FAN_OUT = {"service": None, "fanout-services": ["s-1"], "top-k": 4, "min-coverage": 0.5}
-
-
-def delegate_report(daemon):
-    address = daemon.gateway.peer_address
-    return MemberReport("m-delegate", address, 1, 1, "north", 1.0)
-
-
 def test_fan_out_query_is_delegated_and_runs_locally_if_the_delegate_is_down(monkeypatch):
     servers = {"s-1": [StandinServer("i-1", b"A" * 16)]}
     with deployment([route_record("/all/", **FAN_OUT)], servers) as (daemon, store):
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -140,6 +140,8 @@
             request_id, "GET", HOST, path, self.now, self.now + wait_s, fingerprint
         )
         exchange = self.router.open(request)
+        if isinstance(exchange, Exchange):
+            exchange = self.router.late_refusal(exchange, self.now) or exchange
         if not isinstance(exchange, Exchange):
             self.answers[request_id] = exchange
             self.answered_at[request_id] = self.now
@@ -155,6 +157,12 @@
             action()
         self.now = end
 
+    def begin_stop(self, left_s):
+        """Begin a planned stop in which the last answers are due in *left_s*."""
+        self.router.begin_stop(self.now + left_s)
+        for exchange in list(self.world.exchanges):
+            self._arm(exchange)
+
     def disconnect(self, exchange):
         self.router.caller_left(exchange, self.now)
         self._arm(exchange)
