Bound a deadline that no float represents

A request with a deadline of more than 308 digits got a 500 of the HTTP server: dividing the integer raised OverflowError.

Evidence: the new test fails at the commit before and passes now.

--- a/marigoldwalk/gateway/frontend.py
+++ b/marigoldwalk/gateway/frontend.py
@@ -45,6 +45,9 @@
 BODY_TIMEOUT_S = 10.0
 """Time limit for reading a body; longer than for headers, for callers on slow links."""
 
+MAX_DIGITS = 18
+"""Maximum number of digits of a number in a header between daemons."""
+
 StartResponse = Any
 
 _DELEGATION_REFUSED = ErrorAnswer(REFUSED_STATUS, RefusalReason.NOT_READY)
@@ -140,7 +143,7 @@
     ) -> Iterable[bytes]:
         elapsed_ms = environ.get(ELAPSED_KEY, "")
         version = environ.get(VERSION_KEY, "")
-        is_valid = _is_number(elapsed_ms) and version.isdecimal()
+        is_valid = _is_number(elapsed_ms) and _is_number(version) and version.isdecimal()
         if (
             self._router.is_isolated
             or not is_valid
@@ -352,7 +355,7 @@
 
 
 def _is_number(text: str) -> bool:
-    return text.replace(".", "", 1).isdecimal()
+    return len(text) <= MAX_DIGITS and text.replace(".", "", 1).isdecimal()
 
 
 def _header_bytes(headers: list[tuple[str, str]]) -> int:
--- a/marigoldwalk/platform/headers.py
+++ b/marigoldwalk/platform/headers.py
@@ -27,6 +27,8 @@
 RETRY_AFTER = "retry-after"
 MAX_RETRY_AFTER_S = 86_400.0
 """A longer pause, which no server can mean, counts as this one."""
+MAX_DEADLINE_MS = 86_400_000
+"""A longer deadline counts as this one; a route's timeout is shorter."""
 PART_SIGNATURES = "X-Marigoldwalk-Part-Stamps"
 MISSING_PARTS = "X-Marigoldwalk-Missing-Parts"
 
@@ -63,7 +65,7 @@
             if lower == REQUEST_ID:
                 request_id = value
             elif lower == DEADLINE_MS:
-                deadline_s = int(value) / 1000
+                deadline_s = min(int(value), MAX_DEADLINE_MS) / 1000
             elif lower == API_KEY:
                 key_digests += (digest_of(value.strip().encode("latin-1", "replace")),)
         if deadline_s is not None and deadline_s < 0:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -29,6 +29,12 @@
         CODEC.read_request([("x-marigoldwalk-deadline-ms", value)])
 
 
+def test_deadline_that_no_float_represents_is_bounded():
+    """Such a request got a 500 of the HTTP server."""
+    metadata = CODEC.read_request([("x-marigoldwalk-deadline-ms", "9" * 400)])
+    assert metadata.deadline_s == 86_400.0
+
+
 def test_hop_by_hop_and_gateway_headers_are_not_forwarded():
     headers = [
         ("Host", "desk.example"),
