--- a/marigoldwalk/daemon/platform.py
+++ b/marigoldwalk/daemon/platform.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.event import Event as Signal
@@ -64,7 +64,18 @@
 
 class _InstancesModel(_AnswerModel):
     version: int
-    instances: list[_InstanceModel]
+    # Each entry is validated by itself, so that an invalid one does not cost the whole list.
+    instances: list[Any]
+
+
+def _read_instance(entry: Any) -> Instance | None:
+    """Return the instance in an entry of the list, or ``None`` if the entry is invalid."""
+    try:
+        item = _InstanceModel.model_validate(entry)
+        return Instance(item.name, parse_address(item.address), item.domain, item.leaving)
+    except ValueError as exc:
+        logger.warning("invalid entry of the instance list", extra={"fields": {"why": str(exc)}})
+        return None
 
 
 class PlatformClient:
@@ -124,10 +135,8 @@
         requested_at = self._clock.now()
         raw = self._get("/instances", 0.0)
         listed = _InstancesModel.model_validate_json(raw or b"")
-        instances = tuple(
-            Instance(item.name, parse_address(item.address), item.domain, item.leaving)
-            for item in listed.instances
-        )
+        found = (_read_instance(entry) for entry in listed.instances)
+        instances = tuple(instance for instance in found if instance is not None)
         self._post(InstancesRead(listed.version, instances, requested_at))
 
     def _wait_for_next_read(self) -> None:
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -57,6 +57,25 @@
     assert inbox.next() == InstancesRead(4, (listed,), 5.0)
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"name": "m-2", "address": "127.0.0.1:70000", "domain": "bud-a"},
+        {"name": "m-2", "address": 7, "domain": "bud-a"},
+        {"name": "m-2"},
+        "m-2",
+        [[[]]],
+    ],
+)
+def test_an_invalid_entry_costs_no_other_entry_of_the_instance_list(inbox, odd):
+    """One odd entry stopped the daemon from following the list."""
+    entry = {"name": "m-1", "address": "127.0.0.1:7001", "domain": "bud-a"}
+    with scripted(http_reply({"version": 4, "instances": [odd, entry]})) as server:
+        platform_at(server.address, inbox).read_instances()
+    listed = Instance("m-1", Address("127.0.0.1", 7001), "bud-a", False)
+    assert inbox.next() == InstancesRead(4, (listed,), 5.0)
+
+
 def test_both_greenlets_retry_after_a_failure(inbox):
     document = http_reply({"revision": 1, "text": "a"})
     with scripted(None, None, *[document] * 10) as server:
