--- a/marigoldwalk/daemon/backend_messages.py
+++ b/marigoldwalk/daemon/backend_messages.py
@@ -4,7 +4,7 @@
 
 import json
 from functools import lru_cache
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic_core import to_json
@@ -19,6 +19,12 @@
 _encode_cached = lru_cache(maxsize=1024)(_encode)
 
 
+MAX_SHARDS = 100_000
+"""Maximum number of shards of a snapshot; queries are planned for each of them."""
+_Snapshot = Annotated[int, Field(ge=0, le=2**53)]
+_Shard = Annotated[int, Field(ge=0, lt=MAX_SHARDS)]
+
+
 class BackendError(ValueError):
     """A backend server's reply does not conform to the interface."""
 
@@ -37,16 +43,16 @@
 class _SearchReplyModel(_ReplyModel):
     state: ReplyState
     incarnation: str
-    snapshot: int = 0
-    shards: tuple[int, ...] = ()
+    snapshot: _Snapshot = 0
+    shards: tuple[_Shard, ...] = ()
     hits: list[_HitModel] = Field(default_factory=list)
     retry_after_ms: float = Field(0.0, ge=0)
 
 
 class _HoldingModel(_ReplyModel):
-    snapshot: int
-    shard_count: int
-    shards: tuple[int, ...]
+    snapshot: _Snapshot
+    shard_count: int = Field(ge=0, le=MAX_SHARDS)
+    shards: tuple[_Shard, ...]
 
 
 class _HealthReplyModel(_ReplyModel):
--- a/tests/daemon/test_backends.py
+++ b/tests/daemon/test_backends.py
@@ -186,3 +186,20 @@
             backends.probe(ProbeServer("s-1", server.address))
             assert inbox.next() == ProbeReply("s-1", incarnation, False, False, ())
         assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    "holding",
+    [
+        {"snapshot": 2**70, "shard_count": 50, "shards": [3]},
+        {"snapshot": 7, "shard_count": 10**12, "shards": [3]},
+        {"snapshot": 7, "shard_count": 50, "shards": [2**40]},
+        {"snapshot": 7, "shard_count": -1, "shards": [3]},
+    ],
+)
+def test_a_health_reply_with_a_number_out_of_range_fails_the_probe(backends, inbox, holding):
+    """Queries are planned for each shard, so such a number used up the daemon's memory."""
+    health = {"incarnation": "s-1/1", "holdings": [holding]}
+    with scripted(http_reply(health)) as server:
+        backends.probe(ProbeServer("s-1", server.address))
+        assert inbox.next() == ProbeFailed("s-1", refused=False)
