End a planned stop of the product's daemon under load

The daemon waits at a planned stop until it has no work, but it accepted new queries meanwhile. While callers went on coming, it was never without, and was killed with queries in progress. New queries are refused as STOPPING once the balancer has had time to notice; what was accepted before is finished.

--- a/marigoldwalk/core/systems/admission.py
+++ b/marigoldwalk/core/systems/admission.py
@@ -12,7 +12,7 @@
 from ..strategies.coverage import coverage_policies
 from ..tables import QueryRow, QueryState
 from ..timers import ClaimGranted, QueryDue
-from . import answers, claims, planning, suspects
+from . import answers, claims, planning, stopping, suspects
 from .configuration import view_trusted
 from .waits import MAX_ADMISSION_WAIT_RATIO
 
@@ -105,6 +105,8 @@
         return Refusal(
             Code.MISSING_REQUEST_ID, f"requests to group {group.name!r} need a request_id"
         )
+    if stopping.has_closed(world):
+        return Refusal(Code.STOPPING, "the daemon stops")
     if not view_trusted(world):
         return Refusal(
             Code.VIEW_DOUBTFUL,
--- a/marigoldwalk/core/systems/stopping.py
+++ b/marigoldwalk/core/systems/stopping.py
@@ -33,6 +33,17 @@
     world.after(world.parameters.balancer_lag_s, StopDue())
 
 
+def has_closed(world: World) -> bool:
+    """Return whether the balancer has had time to notice, so that new queries are refused.
+
+    Load pattern: callers go on coming, for example on open connections or since few daemons are
+    left. The daemon would never be without work, and would be killed while queries run.
+    """
+    daemon_state = world.daemon_state
+    served_s = world.now - daemon_state.stopping_since
+    return daemon_state.stopping and served_s >= world.parameters.balancer_lag_s
+
+
 @on(StopDue)
 def finish_stop(world: World, event: StopDue) -> None:
     """Exit once no work is left."""
--- a/tests/core/test_stopping.py
+++ b/tests/core/test_stopping.py
@@ -56,6 +56,28 @@
     assert fleet.nodes["m-1"].exited
 
 
+def test_a_stop_ends_although_callers_go_on():
+    """The daemon accepted queries for as long as others ran, so a stop under load never ended."""
+    fleet = FleetDriver(DAEMONS)
+    fleet.run(5.0)
+    for server in fleet.servers.values():
+        server.latency_s = 0.08
+    fleet.stop("m-1")
+    lag_s = fleet.parameters.balancer_lag_s
+    early: list[int] = []
+    late: list[int] = []
+    stopped_at = fleet.now
+    while fleet.now < stopped_at + lag_s + 1.5 and not fleet.nodes["m-1"].exited:
+        (early if fleet.now < stopped_at + lag_s else late).append(fleet.ask("m-1"))
+        fleet.run(STEP_S)
+    assert fleet.nodes["m-1"].exited
+    assert {fleet.answers[number].code for number in early} == {Code.OK}
+    refused = [fleet.answers[number] for number in late if number in fleet.answers]
+    assert {(answer.code, answer.execution) for answer in refused} == {
+        (Code.STOPPING, Execution.NOT_RUN)
+    }
+
+
 def test_a_killed_daemon_affects_only_its_own_callers():
     fleet = FleetDriver(DAEMONS)
     fleet.run(6.0)
