Bound a request that starts after the stop of its daemon has begun

A query that was handed to a delegate before SIGTERM, and refused by it afterwards, ran on this daemon with the route's timeout as its only limit. Requests are limited to the end of the daemon when they start.

Evidence: the new test ends with 504 at the end of the stop; without the limit it stays unanswered until the caller's deadline.

--- a/marigoldwalk/platform/records.py
+++ b/marigoldwalk/platform/records.py
@@ -40,6 +40,7 @@
 """Prefixes of all keys that the gateway reads."""
 
 MAX_NAME_CHARS = 1000
+"""Maximum length of the names of services and failure domains."""
 MAX_INTEGER = 2**53
 """Largest number of a record; some JSON parsers do not represent larger integers exactly."""
 
--- a/marigoldwalk/routing/router.py
+++ b/marigoldwalk/routing/router.py
@@ -18,7 +18,7 @@
     serve_queue,
     start_tasks,
 )
-from .stopping import begin_stop, late_refusal
+from .stopping import begin_stop, late_refusal, limit_to_stop
 from .suspects import EVIDENCE_TTL_S
 
 if TYPE_CHECKING:
@@ -105,6 +105,8 @@
     def start(self, exchange: Exchange, now: float) -> list[Action]:
         """Send the tasks of a new exchange, or refuse it."""
         self.world.now = now
+        # The stop may have begun while another daemon was asked to run the request.
+        limit_to_stop(self.world, exchange)
         self.world.exchanges[exchange] = None
         for service in self._services(exchange.route):
             exchange.tasks.append(Task(exchange, service))
@@ -232,8 +234,7 @@
         delay_s = self.world.limits.caller_delay_s
         margin_s = ANSWER_MARGIN_S + delay_s
         deadline_at = min(request.deadline_at, request.received_at + route.timeout_s)
-        give_up_at = min(deadline_at - margin_s, self.world.answer_by)
-        give_up_at = max(give_up_at, request.received_at)
+        give_up_at = max(deadline_at - margin_s, request.received_at)
         lag_s = min(self.world.answer_lag.lag_s, LAG_SHARE * route.target_s)
         target_at = request.received_at + route.target_s - margin_s - delay_s - lag_s
         return Exchange(request, route, version, min(target_at, give_up_at), give_up_at)
--- a/marigoldwalk/routing/stopping.py
+++ b/marigoldwalk/routing/stopping.py
@@ -27,8 +27,13 @@
     """Answer all requests until *answer_by*, those in progress as well."""
     world.answer_by = answer_by
     for exchange in world.exchanges:
-        exchange.give_up_at = min(exchange.give_up_at, answer_by)
-        exchange.target_at = min(exchange.target_at, exchange.give_up_at)
+        limit_to_stop(world, exchange)
+
+
+def limit_to_stop(world: RoutingWorld, exchange: Exchange) -> None:
+    """Answer *exchange* before this daemon ends, if it is stopping."""
+    exchange.give_up_at = min(exchange.give_up_at, world.answer_by)
+    exchange.target_at = min(exchange.target_at, exchange.give_up_at)
 
 
 def late_refusal(world: RoutingWorld, exchange: Exchange, now: float) -> ErrorAnswer | None:
--- a/tests/routing/simulation.py
+++ b/tests/routing/simulation.py
@@ -146,9 +146,12 @@
             self.answers[request_id] = exchange
             self.answered_at[request_id] = self.now
             return None
+        self.start(exchange)
+        return exchange
+
+    def start(self, exchange):
         self._perform(self.router.start(exchange, self.now))
         self._arm(exchange)
-        return exchange
 
     def run(self, for_s):
         end = self.now + for_s
--- a/tests/routing/test_stopping.py
+++ b/tests/routing/test_stopping.py
@@ -3,9 +3,14 @@
 import pytest
 
 from marigoldwalk.errors import RefusalReason
-from marigoldwalk.routing.exchanges import ErrorAnswer, ForwardedAnswer, MergedAnswer
+from marigoldwalk.routing.exchanges import (
+    CallerRequest,
+    ErrorAnswer,
+    ForwardedAnswer,
+    MergedAnswer,
+)
 
-from .simulation import SILENT, Simulation, fan_out_route, server_reply, single_route
+from .simulation import HOST, SILENT, Simulation, fan_out_route, server_reply, single_route
 
 ROUTE = {"timeout_s": 6.0, "target_s": 0.6}
 USUAL = (0.17, server_reply())
@@ -61,6 +66,18 @@
     assert len(refused) < 45
 
 
+def test_a_request_accepted_before_the_stop_and_started_later_is_answered_before_the_end():
+    """A delegate may refuse a query after the stop has begun, which then runs here."""
+    simulation = one_service((0.1, SILENT))
+    request = CallerRequest("q-1", "GET", HOST, "/one/1", simulation.now, simulation.now + 6.0)
+    exchange = simulation.router.open(request)
+    simulation.begin_stop(2.0)
+    simulation.start(exchange)
+    simulation.run(2.1)
+    assert simulation.answers["q-1"].status == 504
+    assert simulation.answered_at["q-1"] == pytest.approx(102.0, abs=0.01)
+
+
 def test_open_requests_are_answered_before_the_end():
     simulation = one_service((0.1, SILENT), idempotent=False)
     simulation.ask(request_id="sent", wait_s=6.0)
