--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,6 +32,16 @@
 LINGER_S = 0.6
 """Time for which a draining server still serves after ``DRAIN_S``."""
 DRAIN_S = 3.0
+UNREADABLE_ENTRIES = (
+    b"[" * 2000,
+    b'{"service":' * 2000,
+    b'{"slots": ' + b"9" * 5000 + b"}",
+    b'{"cold-left-ms": 1e999}',
+    b'{"address": "127.0.0.1:70000"}',
+    b"\xff\xfe",
+    b"",
+)
+"""Entries that other writers leave in the store."""
 RESHARD_LEAD_S = 2.5
 """Time from the start of a new set of shards to the configuration that routes to it."""
 
@@ -103,6 +113,15 @@
     gevent.spawn_later(fault.duration_s, setattr, store, "failure", None)
 
 
+@faults.register("other_writer")
+def other_writer(context: FaultContext, fault: PlannedFault, rng: random.Random) -> None:
+    """Leave an entry that cannot be read among those of the servers; nothing may depend on it."""
+    store = context.deployment.store
+    key = f"servers/other-{rng.randrange(3)}"
+    store.put(key, rng.choice(UNREADABLE_ENTRIES))
+    gevent.spawn_later(fault.duration_s, store.delete, key)
+
+
 @faults.register("store_compacts")
 def store_compacts(context: FaultContext, fault: PlannedFault, rng: random.Random) -> None:
     """Compact the store's history, while serializable reads lag some changes behind."""
