--- a/tests/gateway/closing.py
+++ b/tests/gateway/closing.py
@@ -4,24 +4,13 @@
 
 from contextlib import contextmanager
 
-from gevent.pool import Pool
-from gevent.server import StreamServer
+from standins.gateway_backends import stopping
 
-from marigoldwalk.config.view import Address
+from ..daemon.scripted import ScriptedServer, read_request
 
-from ..daemon.scripted import read_request
 
-
-class ClosingServer:
-    def __init__(self):
-        self.reply = b""
-        self.requests = []
-        self._server = StreamServer(("127.0.0.1", 0), self._serve, spawn=Pool())
-        self._server.start()
-        self.address = Address("127.0.0.1", self._server.server_port)
-
-    def stop(self):
-        self._server.stop(timeout=0)
+class ClosingServer(ScriptedServer):
+    reply = b""
 
     def _serve(self, sock, _peer):
         with sock.makefile("rb") as stream:
@@ -34,7 +23,5 @@
 @contextmanager
 def closing_server():
     server = ClosingServer()
-    try:
+    with stopping(server):
         yield server
-    finally:
-        server.stop()
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -147,31 +147,25 @@
         assert stopped.get(timeout=TEST_TIMEOUT_S) == 0
 
 
-def ask_until_stopped(daemon, stopped, interval_s=0.05):
-    """Send requests that must not be repeated during a stop.
-
-    Returns a pair of time and response for each, with ``None`` where the listener was closed.
-    """
-    begun_at = time.monotonic()
-    results = []
+def ask_until_stopped(daemon, stopped, interval_s):
+    """Send requests with a body during a stop; return the responses until the listener closes."""
+    responses = []
 
     def ask_once(number):
-        sent_at = time.monotonic() - begun_at
         try:
             sock = daemon.connect()
         except OSError:
-            results.append((sent_at, None))
             return
         with sock, sock.makefile("rb") as stream:
             sock.sendall(request(request_id=f"q-{number}", method="POST", body=b"x"))
-            results.append((sent_at, read_response(stream)))
+            responses.append(read_response(stream))
 
     callers = []
     while not stopped.ready():
         callers.append(gevent.spawn(ask_once, len(callers)))
         gevent.sleep(interval_s)
     gevent.joinall(callers, raise_error=True)
-    return results
+    return responses
 
 
 def test_request_that_comes_late_in_the_grace_period_is_refused_and_never_runs():
@@ -181,8 +175,7 @@
     with deployment([route], {"s-1": [server]}) as (daemon, _):
         stopped = gevent.spawn(daemon.stop)
         gevent.sleep(0)
-        results = ask_until_stopped(daemon, stopped, interval_s=0.2)
-    responses = [response for _, response in results if response is not None]
+        responses = ask_until_stopped(daemon, stopped, interval_s=0.2)
     assert {status for status, _, _ in responses} == {200, 503}
     # Status 503 is a promise that the request has not run.
     assert len(server.requests) == sum(status == 200 for status, _, _ in responses)
