--- a/tests/daemon/test_backends.py
+++ b/tests/daemon/test_backends.py
@@ -198,7 +198,7 @@
     ],
 )
 def test_a_health_reply_with_a_number_out_of_range_fails_the_probe(backends, inbox, holding):
-    """Queries are planned for each shard, so such a number used up the daemon's memory."""
+    """Queries are planned for each shard, so such a number would use up the daemon's memory."""
     health = {"incarnation": "s-1/1", "holdings": [holding]}
     with scripted(http_reply(health)) as server:
         backends.probe(ProbeServer("s-1", server.address))
