Log how a daemon learns that a server is leaving, and how old its knowledge is

New lines and counters say the revision, the source, the time since the answer before it, the counts that were compared, and the age of the registrations at a send after 2 s without an answer. No decision changes.

--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -5,6 +5,7 @@
 import logging
 import random
 from dataclasses import replace
+from math import isfinite
 from typing import TYPE_CHECKING
 
 import gevent
@@ -28,6 +29,7 @@
 
     from ..config.view import Address
     from ..routing.catalog import Catalog
+    from ..routing.model import Registration
     from ..routing.readers import Readers
     from .store_interface import Store, StoreUpdate, UpdateBatch
 
@@ -93,6 +95,8 @@
         """Called with the outcome of a read; calls after the first have no effect."""
         self._excluded: set[str] = set()
         self._era_change = EraChange()
+        self._silent_s = 0.0
+        """Time between the last two answers of any source, a bound on the age of the last news."""
         self._failed_at = float("-inf")
         self._is_unavailable = False
         self._has_snapshot = False
@@ -141,7 +145,7 @@
             self._count_earlier_era(exc)
             self._counters["store.reader_failed"] += 1
             self._readers.record_failure(address, self._now())
-            fields = {"reader": str(address), "why": str(exc)}
+            fields = {"reader": str(address), "why": str(exc), "news_age_s": self._news_age_s()}
             logger.info("store mirror is not responding", extra={"fields": fields})
             self._pause_if_all_readers_failed()
         else:
@@ -297,13 +301,16 @@
         self._backoff_s = min(self._backoff_s * 1.6, MAX_BACKOFF_S)
 
     def _apply(self, batch: UpdateBatch) -> None:
-        self._readers.record_answer(self._now())
+        now = self._now()
+        self._readers.record_answer(now)
+        self._silent_s = now - self._catalog.heard_at
+        self._catalog.heard_at = now
         self._backoff_s = MIN_BACKOFF_S
+        self.era = batch.era
+        self.revision = batch.revision
         for update in batch.updates:
             self._apply_update(update)
         self._update_exclusions()
-        self.era = batch.era
-        self.revision = batch.revision
 
     def _update_exclusions(self) -> None:
         self._catalog.exclude(self._excluded | self._era_change.held_domains)
@@ -316,23 +323,43 @@
                 logger.info("configuration applied", extra={"fields": fields})
         elif isinstance(update, ServerUpdate):
             self._era_change.forget_server(update.registration.server_id)
-            self._catalog.apply_registration(update.registration, now)
+            self._apply_registration(update.registration, now)
         elif isinstance(update, ServerRemoved):
             self._era_change.forget_server(update.server_id)
             self._apply_removal(update, now)
         elif isinstance(update, DomainUpdate):
             self._apply_domain(update)
 
+    def _apply_registration(self, new: Registration, now: float) -> None:
+        row = self._catalog.rows.get(new.server_id)
+        known = row.registration if row is not None else None
+        if self._catalog.apply_registration(new, now):
+            if new.draining and (known is None or not known.draining):
+                fields = {"server": new.server_id, **self._source_state()}
+                logger.info("server registered as draining", extra={"fields": fields})
+        elif known is not None and known != new:
+            self._counters["registration.ignored"] += 1
+            fields = {
+                "server": new.server_id,
+                "draining": new.draining,
+                "counts": [new.started_at_ms, new.sequence],
+                "known_counts": [known.started_at_ms, known.sequence],
+                **self._source_state(),
+            }
+            logger.warning("server registration ignored", extra={"fields": fields})
+
     def _apply_removal(self, update: ServerRemoved, now: float) -> None:
+        fields = {"server": update.server_id, **self._source_state()}
         if update.is_unreadable:
             self._counters["registration.unreadable"] += 1
-            logger.warning(
-                "invalid server registration", extra={"fields": {"server": update.server_id}}
-            )
+            logger.warning("invalid server registration", extra={"fields": fields})
         if self._is_recovering():
+            self._counters["registration.removal_deferred"] += 1
             self._catalog.mark_removed(update.server_id, now + REREGISTRATION_S)
+            fields["deferred_s"] = REREGISTRATION_S
+            logger.info("server removal deferred", extra={"fields": fields})
         elif self._catalog.remove(update.server_id):
-            logger.info("server removed", extra={"fields": {"server": update.server_id}})
+            logger.info("server removed", extra={"fields": fields})
 
     def _apply_domain(self, update: DomainUpdate) -> None:
         if update.is_excluded:
@@ -376,6 +403,19 @@
     def _record_confirmed(self, confirmed_at: float) -> None:
         self._catalog.confirmed_at = max(self._catalog.confirmed_at, confirmed_at)
 
+    def _source_state(self) -> dict[str, object]:
+        """Return log fields that tell how a change became known, and how old it may be."""
+        return {
+            "revision": self.revision,
+            "source": str(self._source) if self._source is not None else "store",
+            "silent_s": round(self._silent_s, 3) if isfinite(self._silent_s) else None,
+        }
+
+    def _news_age_s(self) -> float | None:
+        """Return the time since any source answered, or ``None`` before the first answer."""
+        age_s = self._now() - self._catalog.heard_at
+        return round(age_s, 3) if isfinite(age_s) else None
+
     def _state(self) -> dict[str, object]:
         config = self._catalog.config
         return {
@@ -383,4 +423,5 @@
             "revision": self.revision,
             "version": config.version if config else None,
             "servers": len(self._catalog.rows),
+            "news_age_s": self._news_age_s(),
         }
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -45,6 +45,8 @@
         """The services that serve a shard of any route."""
         self.confirmed_at = float("-inf")
         """The latest time for which it is known that the store held nothing newer."""
+        self.heard_at = float("-inf")
+        """When the store, or a daemon that reads it, last answered this daemon."""
         self._top_priorities: dict[str, int] = {}
         """The most urgent priority among the routes of each service."""
         self._groups: dict[str, str] = {}
--- a/marigoldwalk/routing/sending.py
+++ b/marigoldwalk/routing/sending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from .admission import admit
@@ -28,6 +29,8 @@
     from .exchanges import ErrorAnswer, Exchange
     from .world import RoutingWorld
 
+logger = logging.getLogger(__name__)
+
 CONNECTION_SHARE = 0.9
 """Fraction of a server's connections that daemons use; the rest is for daemons not known yet."""
 EXTRA_OPEN_ATTEMPTS = 1
@@ -46,6 +49,9 @@
 """Multiple of the high latency quantile after which a hedge may be sent."""
 HEDGE_TARGET_SHARE = 0.35
 """Fraction of the route's target after which a hedge may be sent even if latencies have risen."""
+OLD_NEWS_S = 2.0
+"""Age of the registrations from which a send is counted and logged. A daemon hears from the store
+or a reader at least once a second unless one of them fails."""
 MIN_HIGH_LATENCY_S = 0.004
 """Lower bound on the high latency quantile used for hedging and stall detection; below it, network
 delays dominate."""
@@ -330,3 +336,19 @@
     task.schedule_hedge(world.now + hedge_s)
     row.open_attempts[attempt.number] = world.now + STALL_AFTER_HIGH * high_s
     world.actions.append(Send(attempt, exchange.give_up_at - world.now))
+    _report_old_news(world, attempt)
+
+
+def _report_old_news(world: RoutingWorld, attempt: Attempt) -> None:
+    """Log an attempt whose server was chosen from registrations that may be out of date."""
+    age_s = world.now - world.catalog.heard_at
+    if not OLD_NEWS_S <= age_s < float("inf"):
+        return
+    world.counters["send.old_news"] += 1
+    fields = {
+        "request": attempt.task.exchange.request.request_id,
+        "service": attempt.task.service,
+        "server": attempt.row.server_id,
+        "news_age_s": round(age_s, 3),
+    }
+    logger.info("request sent on old registrations", extra={"fields": fields})
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -11,6 +11,7 @@
     ConfigUpdate,
     DomainUpdate,
     ServerRemoved,
+    ServerUpdate,
     StoreError,
     UpdateBatch,
 )
@@ -29,7 +30,7 @@
 )
 
 from ..daemon.scripted import TEST_TIMEOUT_S, scripted
-from ..routing.simulation import routing_config, single_route
+from ..routing.simulation import registration, routing_config, single_route
 from .daemons import Daemon, ask, deployment, request, wait_until
 from .scripted_store import (
     APPLY_S,
@@ -80,6 +81,21 @@
     assert server_ids(catalog) == ["b"]
 
 
+def logged(caplog, message):
+    return [record.fields for record in caplog.records if record.message == message]
+
+
+def test_log_tells_when_and_from_where_a_server_is_known_to_drain(clock, caplog):
+    caplog.set_level("INFO")
+    draining = ServerUpdate(registration("a", draining=True, sequence=2))
+    watcher, _ = make_watcher(clock, UpdateBatch(servers("a"), 5), UpdateBatch((draining,), 6))
+    watcher.poll()
+    clock.now += 1.5
+    watcher.poll()
+    expected = {"server": "a", "revision": 6, "source": "store", "silent_s": 1.5}
+    assert logged(caplog, "server registered as draining") == [expected]
+
+
 def test_servers_that_expired_during_an_outage_may_register_again(clock):
     watcher, catalog = make_watcher(
         clock,
