--- /dev/null
+++ b/tests/gateway/test_leaving_servers.py
@@ -0,0 +1,180 @@
+"""Servers say that they are leaving, and each daemon must send them nothing more within 3 s."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from marigoldwalk.config.view import Address
+from marigoldwalk.gateway import store_watcher as watcher_module
+from marigoldwalk.gateway.store_interface import (
+    ServerRemoved,
+    ServerUpdate,
+    StoreError,
+    UpdateBatch,
+)
+from marigoldwalk.gateway.store_watcher import MAX_COALESCE_S
+from marigoldwalk.platform import store as store_module
+from marigoldwalk.platform.mirror import Mirror
+from marigoldwalk.platform.store import CALL_TIMEOUT_S, StoreClient
+from marigoldwalk.routing.membership import MemberReport, Membership
+from marigoldwalk.routing.readers import Readers
+
+from ..routing.simulation import registration
+from .scripted_store import make_watcher, servers
+
+DRAIN_S = 3.0
+"""Time after which no request may reach a server that has said that it is leaving."""
+LEAVES_AT = 102.0
+
+
+def usable(catalog):
+    return [row.server_id for row in catalog.usable_servers("s-1")]
+
+
+class LostReader:
+    """The mirror of a daemon that loses power: each call then takes its whole time limit."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def watch(self, after, wait_s, timeout_s=CALL_TIMEOUT_S):
+        if self._clock.now < LEAVES_AT:
+            self._clock.now = min(self._clock.now + wait_s, LEAVES_AT)
+            return UpdateBatch((), 5)
+        self._clock.now += wait_s + timeout_s
+        raise StoreError("timed out")
+
+
+class LiveStore:
+    """A store in which server "a" begins to drain at ``LEAVES_AT``; readers are lost then."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def read(self):
+        return UpdateBatch(servers("a", "b"), 5)
+
+    def watch(self, after, wait_s):
+        return UpdateBatch((ServerUpdate(registration("a", draining=True, sequence=2)),), 6)
+
+    def mirror_at(self, address):
+        return LostReader(self._clock)
+
+
+def make_follower(clock, monkeypatch, member_count, domain_count):
+    """Return the watcher and the catalog of a follower that knows a fleet of this size."""
+    reports = [
+        MemberReport(f"m-{n}", Address("10.0.0.1", 7000 + n), 1, 5, f"d-{n % domain_count}")
+        for n in range(member_count)
+    ]
+    for own in reports:
+        membership = Membership(own, (), clock.now)
+        membership.merge([report for report in reports if report is not own], clock.now)
+        readers = Readers(membership)
+        if readers.choose(clock.now) is not None:
+            break
+    watcher, catalog = make_watcher(clock, readers=readers)
+    watcher._store = LiveStore(clock)
+
+    def sleep(duration_s):
+        clock.now += duration_s
+
+    monkeypatch.setattr(watcher_module.gevent, "sleep", sleep)
+    return watcher, catalog
+
+
+@pytest.mark.parametrize(("members", "domains"), [(6, 3), (9, 3), (66, 4), (195, 5), (300, 3)])
+def test_follower_stops_sending_in_time_although_all_readers_are_lost(
+    clock, monkeypatch, members, domains
+):
+    """Followers waited for each lost reader in turn, and then for their turn at the store."""
+    watcher, catalog = make_follower(clock, monkeypatch, members, domains)
+    while clock.now < LEAVES_AT:
+        watcher.poll()
+    assert watcher._source is not None
+    clock.now += MAX_COALESCE_S  # the pause after an earlier change
+    while "a" in usable(catalog):
+        try:
+            watcher.poll()
+        except StoreError as exc:
+            watcher.record_failure(exc)
+    assert clock.now - LEAVES_AT < DRAIN_S
+
+
+def follow(clock, *updates):
+    """Return the catalog of a daemon that has read server "a" and then each of *updates*."""
+    batches = [UpdateBatch((update,), 6 + n) for n, update in enumerate(updates)]
+    watcher, catalog = make_watcher(clock, UpdateBatch(servers("a"), 5), *batches)
+    for _ in range(len(updates) + 1):
+        watcher.poll()
+    return catalog
+
+
+def test_server_that_starts_again_while_its_clock_is_behind_leaves(clock):
+    """All that such a server said was ignored, as its earlier start had a later time."""
+    address = Address("10.0.0.2", 8000)
+    again = registration("a", started_at_ms=400, address=address)
+    leaving = registration("a", started_at_ms=400, address=address, sequence=2, draining=True)
+    assert usable(follow(clock, ServerUpdate(again))) == ["a"]
+    assert follow(clock, ServerUpdate(again)).rows["a"].address == address
+    assert usable(follow(clock, ServerUpdate(again), ServerUpdate(leaving))) == []
+
+
+def test_larger_counts_of_another_writer_do_not_hide_that_a_server_leaves(clock):
+    other = ServerUpdate(registration("a", started_at_ms=2**53, sequence=2**53))
+    leaving = ServerUpdate(registration("a", sequence=9, draining=True))
+    assert usable(follow(clock, other, leaving)) == []
+
+
+def test_late_write_of_a_draining_server_does_not_bring_it_back(clock):
+    leaving = ServerUpdate(registration("a", sequence=8, draining=True))
+    late = ServerUpdate(registration("a", sequence=7))
+    assert usable(follow(clock, leaving, late)) == []
+
+
+@pytest.mark.parametrize("why", ["status 429", "status 503", "the watch was cut"])
+def test_one_failed_call_does_not_put_off_the_removal_of_a_server(clock, why):
+    """The removal was carried out by the first watch that ended 2.2 s later."""
+    nothing = [UpdateBatch((), 6) for _ in range(2)]
+    watcher, catalog = make_watcher(
+        clock, UpdateBatch(servers("a"), 5), UpdateBatch((ServerRemoved("a"),), 6), *nothing
+    )
+    watcher.poll()
+    removed_at = clock.now
+    clock.now += 0.9
+    watcher.record_failure(StoreError(why))
+    watcher.poll()
+    for _ in nothing:
+        clock.now += 1.0
+        watcher.poll()
+    assert clock.now - removed_at < DRAIN_S
+    assert catalog.rows == {}
+
+
+def test_answer_that_arrives_in_small_pieces_ends_at_its_time_limit(monkeypatch):
+    """Each piece began the time limit anew, and the daemon learned nothing meanwhile."""
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.1)
+    if hasattr(store_module, "MIRROR_TIMEOUT_S"):
+        monkeypatch.setattr(store_module, "MIRROR_TIMEOUT_S", 0.1)
+    sent = []
+
+    def trickle(sock, _peer):
+        sock.recv(4096)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n")
+        for _ in range(40):
+            sock.sendall(b" ")
+            sent.append(1)
+            gevent.sleep(0.03)
+
+    server = StreamServer(("127.0.0.1", 0), trickle)
+    server.start()
+    client = StoreClient(Address("127.0.0.1", server.server_port), Mirror(lambda: True))
+    try:
+        with pytest.raises(StoreError):
+            client.watch(5, 0.0)
+        assert len(sent) < 40
+    finally:
+        client.close()
+        server.stop(timeout=0)
