Apply registrations in the order of the store, not by what servers state of themselves

A server whose clock is set back states a lower start time when it starts again under its id. The cause is an order taken from the writers, while the store has one of its own for all its answers.

Changes now count in the order in which the store has them, and a full read is what the mirror then holds. Writes that come late need the counts still: an entry with counts that are not higher does not end that a server leaves, and does not bring back one that was removed, until it has been in the store for 5 s. After a restore the counts decide until the new era has settled, as before.

--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -10,7 +10,8 @@
 
 import gevent
 
-from ..routing.era_change import EraChange
+from ..routing.era_change import SETTLE_S, EraChange
+from ..routing.held_registrations import HeldRegistrations
 from .store_interface import (
     UNKNOWN_ERA,
     ConfigUpdate,
@@ -98,6 +99,7 @@
         """Called with the outcome of a read; calls after the first have no effect."""
         self._excluded: set[str] = set()
         self._era_change = EraChange()
+        self._held = HeldRegistrations()
         self._silent_s = 0.0
         """Time between the last two answers of any source, a bound on the age of the last news."""
         self._failed_at = float("-inf")
@@ -213,7 +215,7 @@
         if self._has_snapshot and batch.era > self.era:
             self._begin_era(batch.era)
         self._remove_absent(batch.updates)
-        self._apply(self._without_departed(batch))
+        self._apply(self._without_outdated(batch))
         self._has_snapshot = True
         logger.info("full snapshot of the store read", extra={"fields": self._state()})
         self._on_first_read("the store has been read")
@@ -229,25 +231,31 @@
         fields = {"new_era": era, **self._state()}
         logger.warning("store restored from a copy", extra={"fields": fields})
         self._era_change.begin(self._catalog.excluded_domains, self._now())
+        self._held.clear()
 
-    def _without_departed(self, batch: UpdateBatch) -> UpdateBatch:
-        """Return *batch* without servers that had left, while a change of era settles."""
+    def _without_outdated(self, batch: UpdateBatch) -> UpdateBatch:
+        """Return *batch* without what was known to be out of date before a change of era.
+
+        Revisions of two eras have no order, so the servers' own counts decide until it settles.
+        """
         if not self._era_change.is_settling(self._now()):
             return batch
         kept: list[StoreUpdate] = []
         for update in batch.updates:
-            if isinstance(update, ServerUpdate) and self._catalog.had_left(update.registration):
-                self._counters["store.departed_server"] += 1
-                self._era_change.defer(update.registration)
+            if isinstance(update, ServerUpdate) and self._catalog.is_from_before(
+                update.registration
+            ):
+                self._hold(update.registration, self._era_change.settled_at)
             else:
                 kept.append(update)
         return replace(batch, updates=tuple(kept))
 
     def _apply_settled(self) -> None:
-        """Apply what was deferred or held back during a change of era that has settled."""
+        """Apply the registrations that were held for long enough, and end a change of era."""
         now = self._now()
-        for registration in self._era_change.take_settled(now):
-            self._catalog.apply_registration(registration, now)
+        for registration in self._held.take_due(now):
+            self._apply_registration(registration, now)
+        self._era_change.end_if_settled(now)
         self._update_exclusions()
 
     def record_failure(self, exc: StoreError) -> None:
@@ -331,31 +339,35 @@
                 fields = {"version": update.config.version, "routes": len(update.config.routes)}
                 logger.info("configuration applied", extra={"fields": fields})
         elif isinstance(update, ServerUpdate):
-            self._era_change.forget_server(update.registration.server_id)
-            self._apply_registration(update.registration, now)
+            self._held.forget(update.registration.server_id)
+            if self._catalog.may_be_outdated(update.registration):
+                self._hold(update.registration, now + SETTLE_S)
+            else:
+                self._apply_registration(update.registration, now)
         elif isinstance(update, ServerRemoved):
-            self._era_change.forget_server(update.server_id)
+            self._held.forget(update.server_id)
             self._apply_removal(update, now)
         elif isinstance(update, DomainUpdate):
             self._apply_domain(update)
 
     def _apply_registration(self, new: Registration, now: float) -> None:
         row = self._catalog.rows.get(new.server_id)
-        known = row.registration if row is not None else None
-        if self._catalog.apply_registration(new, now):
-            if new.draining and (known is None or not known.draining):
-                fields = {"server": new.server_id, **self._source_state()}
-                logger.info("server registered as draining", extra={"fields": fields})
-        elif known is not None and known != new:
-            self._counters["registration.ignored"] += 1
-            fields = {
-                "server": new.server_id,
-                "draining": new.draining,
-                "counts": [new.started_at_ms, new.sequence],
-                "known_counts": [known.started_at_ms, known.sequence],
-                **self._source_state(),
-            }
-            logger.warning("server registration ignored", extra={"fields": fields})
+        was_draining = row is not None and row.registration.draining
+        if self._catalog.apply_registration(new, now) and new.draining and not was_draining:
+            fields = {"server": new.server_id, **self._source_state()}
+            logger.info("server registered as draining", extra={"fields": fields})
+
+    def _hold(self, new: Registration, until: float) -> None:
+        """Apply a registration later, unless the store replaces it until then."""
+        self._held.hold(new, until)
+        self._counters["registration.held"] += 1
+        fields = {
+            "server": new.server_id,
+            "counts": [new.started_at_ms, new.sequence],
+            "held_s": round(until - self._now(), 3),
+            **self._source_state(),
+        }
+        logger.info("server registration held", extra={"fields": fields})
 
     def _apply_removal(self, update: ServerRemoved, now: float) -> None:
         fields = {"server": update.server_id, **self._source_state()}
--- a/marigoldwalk/platform/mirror.py
+++ b/marigoldwalk/platform/mirror.py
@@ -44,6 +44,11 @@
         self._compacted_revision = 0
         """Events up to this revision have been discarded."""
 
+    @property
+    def items(self) -> list[dict[str, Any]]:
+        """All items, as of the mirror's revision."""
+        return list(self._items.values())
+
     def replace(self, items: Iterable[dict[str, Any]], revision: int, era: int) -> None:
         """Replace the content with a full snapshot."""
         self.era = era
--- a/marigoldwalk/platform/store.py
+++ b/marigoldwalk/platform/store.py
@@ -75,8 +75,7 @@
             raise StoreError(f"{self._address} is at an older revision than was read before")
         self.mirror.replace(snapshot.items, snapshot.revision, snapshot.era)
         self.mirror.apply_events(events, last_revision)
-        updates = _decode_all([*snapshot.items, *events])
-        return UpdateBatch(updates, last_revision, snapshot.era)
+        return UpdateBatch(_decode_all(self.mirror.items), last_revision, snapshot.era)
 
     def watch(self, after: int, wait_s: float) -> UpdateBatch:
         """Return the changes after revision *after*; raises ``StoreError``.
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -26,8 +26,10 @@
 class Catalog:
     """The configuration in force and the table of backend servers.
 
-    Configuration versions and server incarnations only increase, so neither a stale source nor a
-    store that was restored from a copy can bring back an older one::
+    Configuration versions only increase, so neither a stale source nor a store that was restored
+    from a copy can bring back an older one. Registrations are applied in the order in which the
+    store has accepted them: what a server states of itself (its start and its sequence number) is
+    no order, since its clock may be set back and other writers may use its id::
 
         catalog = Catalog()
         catalog.apply_config(config)
@@ -122,8 +124,6 @@
     def apply_registration(self, new: Registration, now: float) -> bool:
         """Apply a server's registration; return whether it changed anything."""
         row = self.rows.get(new.server_id)
-        if row is not None and _version_of(new) < _version_of(row.registration):
-            return False
         if row is not None and row.drop_at is None and row.registration == new:
             return False
         if row is None or _is_other_incarnation(row.registration, new):
@@ -144,12 +144,28 @@
             del self._departed[next(iter(self._departed))]
         return True
 
-    def had_left(self, registration: Registration) -> bool:
-        """Return whether the server was removed and *registration* is not newer than that."""
-        departed = self._departed.get(registration.server_id)
-        if departed is None:
+    def may_be_outdated(self, new: Registration) -> bool:
+        """Return whether *new* ends a server's leaving, but may have been written before it.
+
+        A write can reach the store late. The counts that it states are then those of the time at
+        which it was written.
+        """
+        row = self.rows.get(new.server_id)
+        if row is not None:
+            known = row.registration
+            return known.draining and not new.draining and _counts(new) <= _counts(known)
+        departed = self._departed.get(new.server_id)
+        if departed is None or departed.registration.started_at_ms != new.started_at_ms:
             return False
-        return _version_of(registration) <= _version_of(departed.registration)
+        return new.sequence <= departed.registration.sequence
+
+    def is_from_before(self, copy: Registration) -> bool:
+        """Return whether an entry of a restored store is older than what is known of its server."""
+        row = self.rows.get(copy.server_id)
+        if row is not None:
+            return _counts(copy) < _counts(row.registration)
+        departed = self._departed.get(copy.server_id)
+        return departed is not None and _counts(copy) <= _counts(departed.registration)
 
     def mark_removed(self, server_id: str, drop_at: float) -> None:
         """Drop a server at *drop_at* unless it registers again, since it may still be alive."""
@@ -223,7 +239,8 @@
     return priorities
 
 
-def _version_of(registration: Registration) -> tuple[int, int]:
+def _counts(registration: Registration) -> tuple[int, int]:
+    """Return what the server itself counts; it orders the writes of a server without a fault."""
     return registration.started_at_ms, registration.sequence
 
 
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -23,6 +23,7 @@
 from marigoldwalk.platform import store as store_module
 from marigoldwalk.platform.mirror import Mirror
 from marigoldwalk.platform.store import MIRROR_TIMEOUT_S, StoreClient
+from marigoldwalk.routing.era_change import SETTLE_S
 from marigoldwalk.routing.membership import MemberReport, Membership
 from marigoldwalk.routing.readers import Readers
 
@@ -183,6 +184,23 @@
     assert usable(follow(clock, leaving, late)) == []
 
 
+def test_entry_that_stays_in_the_store_ends_that_a_server_leaves(clock):
+    leaving = ServerUpdate(registration("a", sequence=8, draining=True))
+    ready = ServerUpdate(registration("a", started_at_ms=400))
+    nothing = [UpdateBatch((), 7) for _ in range(2)]
+    watcher, catalog = make_watcher(
+        clock, UpdateBatch((leaving,), 5), UpdateBatch((ready,), 7), *nothing
+    )
+    for _ in range(2):
+        watcher.poll()
+    clock.now += SETTLE_S - 0.1
+    watcher.poll()
+    assert usable(catalog) == []
+    clock.now += 0.1
+    watcher.poll()
+    assert usable(catalog) == ["a"]
+
+
 @pytest.mark.parametrize("why", ["status 429", "status 503", "the watch was cut"])
 def test_one_failed_call_does_not_put_off_the_removal_of_a_server(clock, why):
     """The removal was carried out by the first watch that ended 2.2 s later."""
