Put a removal off only while the store may have been away

One failed call, a refused one or a watch that was cut, put off each removal of the next 2.2 s by 2.2 s more, and the server was sent to until the watch after that had returned, up to 3.55 s after the store had removed it. Only the daemon whose call had failed was late. The cause is that any failure passed for an outage in which live servers lose their entries.

An outage is now several failures and 2.2 s without an answer; then missing servers have 2.2 s from its end to register again. Beside shorter failures a removal is carried out 2.2 s after the last answer that did not have it yet, and a lost reader says nothing about the store. The time is observed when a server is chosen, not when the next watch returns.

Two tests of outages recorded a single failure in no time; they now let the store fail for 4 s, with the same assertions.

--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -12,6 +12,7 @@
 
 from ..routing.era_change import SETTLE_S, EraChange
 from ..routing.held_registrations import HeldRegistrations
+from ..routing.outages import Outages
 from .store_interface import (
     UNKNOWN_ERA,
     ConfigUpdate,
@@ -67,8 +68,6 @@
 a longer pause would add to the time in which the readers notice that the store is back."""
 STOP_TIMEOUT_S = 0.2
 """Time for the greenlet to end at a stop; it ends at its next context switch."""
-REREGISTRATION_S = 2.2
-"""Time after an outage of the store within which live servers register again: 2 s plus a margin."""
 
 
 class StoreWatcher:
@@ -102,7 +101,7 @@
         self._held = HeldRegistrations()
         self._silent_s = 0.0
         """Time between the last two answers of any source, a bound on the age of the last news."""
-        self._failed_at = float("-inf")
+        self._outages = Outages()
         self._is_unavailable = False
         self._has_snapshot = False
         self._backoff_s = MIN_BACKOFF_S
@@ -151,6 +150,7 @@
             self._counters["store.reader_failed"] += 1
             is_silent = not isinstance(exc, (StoreRefusedError, EarlierEraError))
             self._readers.record_failure(address, self._now(), is_silent)
+            self._outages.record_failure(is_silent_reader=is_silent)
             fields = {"reader": str(address), "why": str(exc), "news_age_s": self._news_age_s()}
             logger.info("store mirror is not responding", extra={"fields": fields})
             self._pause_if_all_readers_failed()
@@ -214,6 +214,7 @@
         batch = store.read()
         if self._has_snapshot and batch.era > self.era:
             self._begin_era(batch.era)
+        self._record_answer(batch)
         self._remove_absent(batch.updates)
         self._apply(self._without_outdated(batch))
         self._has_snapshot = True
@@ -221,7 +222,9 @@
         self._on_first_read("the store has been read")
 
     def _watch(self, store: Store, wait_s: float = WATCH_TIMEOUT_S) -> None:
-        self._apply(store.watch(self.revision, wait_s))
+        batch = store.watch(self.revision, wait_s)
+        self._record_answer(batch)
+        self._apply(batch)
         self._drop_removed()
         self._apply_settled()
 
@@ -261,8 +264,8 @@
     def record_failure(self, exc: StoreError) -> None:
         """Record that the store did not answer."""
         self._count_earlier_era(exc)
-        self._failed_at = self._now()
-        self._readers.record_store_failure(self._failed_at)
+        self._readers.record_store_failure(self._now())
+        self._outages.record_failure(is_silent_reader=False)
         self._counters["store.failure"] += 1
         self._on_first_read(f"the store is not responding: {exc}")
         if not self._is_unavailable:
@@ -317,14 +320,17 @@
         gevent.sleep(self._backoff_s * random.uniform(0.7, 1.0))
         self._backoff_s = min(self._backoff_s * 1.6, MAX_BACKOFF_S)
 
-    def _apply(self, batch: UpdateBatch) -> None:
+    def _record_answer(self, batch: UpdateBatch) -> None:
         now = self._now()
         self._readers.record_answer(now)
+        self._outages.record_answer(now)
         self._silent_s = now - self._catalog.heard_at
         self._catalog.heard_at = now
         self._backoff_s = MIN_BACKOFF_S
         self.era = batch.era
         self.revision = batch.revision
+
+    def _apply(self, batch: UpdateBatch) -> None:
         for update in batch.updates:
             self._apply_update(update)
         self._update_exclusions()
@@ -374,10 +380,11 @@
         if update.is_unreadable:
             self._counters["registration.unreadable"] += 1
             logger.warning("invalid server registration", extra={"fields": fields})
-        if self._is_recovering():
+        recovering_until = self._outages.recovering_until
+        if now < recovering_until:
             self._counters["registration.removal_deferred"] += 1
-            self._catalog.mark_removed(update.server_id, now + REREGISTRATION_S)
-            fields["deferred_s"] = REREGISTRATION_S
+            self._catalog.mark_removed(update.server_id, recovering_until)
+            fields["deferred_s"] = round(recovering_until - now, 3)
             logger.info("server removal deferred", extra={"fields": fields})
         elif self._catalog.remove(update.server_id):
             logger.info("server removed", extra={"fields": fields})
@@ -409,10 +416,6 @@
         for server_id in self._catalog.drop_removed(self._now()):
             logger.info("server removed", extra={"fields": {"server": server_id}})
 
-    def _is_recovering(self) -> bool:
-        """Return whether the store failed recently, so that live servers may be unregistered."""
-        return self._now() - self._failed_at < REREGISTRATION_S
-
     def _record_response(self) -> None:
         self.confirmed_at = self._now()
         self._record_confirmed(self.confirmed_at)
--- a/marigoldwalk/routing/catalog.py
+++ b/marigoldwalk/routing/catalog.py
@@ -178,7 +178,7 @@
         expired = [
             row.server_id
             for row in self.rows.values()
-            if row.drop_at is not None and row.drop_at < now
+            if row.drop_at is not None and row.drop_at <= now
         ]
         for server_id in expired:
             self.remove(server_id)
--- a/marigoldwalk/routing/eligibility.py
+++ b/marigoldwalk/routing/eligibility.py
@@ -41,7 +41,7 @@
     rows = [
         row
         for row in world.catalog.usable_servers(task.service)
-        if row.replaced_until <= world.now and world.cold.allows(row, service, share, world.now)
+        if not row.is_gone(world.now) and world.cold.allows(row, service, share, world.now)
     ]
     if not rows:
         is_registered = bool(world.catalog.registered_servers(task.service))
--- a/marigoldwalk/routing/tables.py
+++ b/marigoldwalk/routing/tables.py
@@ -76,6 +76,11 @@
         """The id under which the server is registered."""
         return self.registration.server_id
 
+    def is_gone(self, now: float) -> bool:
+        """Return whether the server is taken as gone, although its registration is kept."""
+        is_dropped = self.drop_at is not None and self.drop_at <= now
+        return is_dropped or self.replaced_until > now
+
     def is_stalled(self, now: float) -> bool:
         """Return whether the oldest open attempt is past its expected answer time."""
         for expected_at in self.open_attempts.values():
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -15,11 +15,12 @@
     StoreError,
     UpdateBatch,
 )
-from marigoldwalk.gateway.store_watcher import MAX_MIRROR_AGE_S, REREGISTRATION_S, StoreWatcher
+from marigoldwalk.gateway.store_watcher import MAX_MIRROR_AGE_S, StoreWatcher
 from marigoldwalk.platform.mirror import Mirror
 from marigoldwalk.platform.store import CALL_TIMEOUT_S, StoreClient
 from marigoldwalk.routing.catalog import Catalog
 from marigoldwalk.routing.membership import MemberReport, Membership
+from marigoldwalk.routing.outages import REREGISTRATION_S
 from marigoldwalk.routing.readers import Readers
 from standins.gateway_backends import (
     StandinServer,
@@ -81,6 +82,12 @@
     assert server_ids(catalog) == ["b"]
 
 
+def store_is_away(watcher, clock, duration_s=4.0):
+    for _ in range(4):
+        clock.now += duration_s / 4
+        watcher.record_failure(StoreError("away"))
+
+
 def logged(caplog, message):
     return [record.fields for record in caplog.records if record.message == message]
 
@@ -105,7 +112,7 @@
         UpdateBatch((), 8),
     )
     watcher.poll()
-    watcher.record_failure(StoreError("away"))
+    store_is_away(watcher, clock)
     watcher.poll()
     assert server_ids(catalog) == ["a", "b"]
     clock.now += REREGISTRATION_S / 2
@@ -120,7 +127,7 @@
         clock, UpdateBatch(servers("a"), 5), HISTORY_LOST, UpdateBatch((), 9), UpdateBatch((), 9)
     )
     watcher.poll()
-    watcher.record_failure(StoreError("away"))
+    store_is_away(watcher, clock)
     watcher.poll()
     assert server_ids(catalog) == ["a"]
     clock.now += REREGISTRATION_S + 0.1
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -49,6 +49,14 @@
     assert answers[-1] == ErrorAnswer(503, RefusalReason.NO_SERVER, 0.1)
 
 
+def test_server_whose_removal_was_put_off_receives_nothing_after_its_time():
+    """It was sent to until the next watch of the store had returned."""
+    simulation = pair([FAST], [FAST])
+    simulation.world.catalog.mark_removed("a", 101.0)
+    ask_every(simulation, 30)
+    assert 100.8 <= max(sent_to(simulation, "a")) < 101.0
+
+
 def test_retries_hedges_and_queued_tasks_avoid_a_leaving_server():
     shed_and_leave = ServerReply(503, (), b"", "", False, is_leaving=True)
     simulation = pair([(0.001, shed_and_leave)], [(0.25, server_reply())])
