Soak: servers that start again under their ids with their clocks set back, and leave

The soak had no server that starts again under its id. The start time in a registration is now that of the incarnation instead of rising with each write.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -42,6 +42,8 @@
     b"",
 )
 """Entries that other writers leave in the store."""
+READ_S = 0.5
+"""Time in which the daemons read a change."""
 RESHARD_LEAD_S = 2.5
 """Time from the start of a new set of shards to the configuration that routes to it."""
 
@@ -202,6 +204,24 @@
             gevent.spawn_later(DRAIN_S + LINGER_S, _replace_server, context, server)
 
 
+@faults.register("server_restarted_in_the_past")
+def server_restarted_in_the_past(
+    context: FaultContext, fault: PlannedFault, rng: random.Random
+) -> None:
+    """Restart some servers under their ids with their clocks set back; they drain soon after."""
+    servers = [s for s in _choose_servers(context, rng) if s.is_running and not s.is_draining]
+    for server in servers:
+        server.crash()
+        server.start_in_the_past()
+        context.deployment.register(server)
+    gevent.sleep(READ_S)
+    for server in servers:
+        if server.is_running and not server.is_draining:
+            server.is_draining = True
+            context.deployment.register(server)
+            gevent.spawn_later(DRAIN_S + LINGER_S, _replace_server, context, server)
+
+
 @faults.register("domain_out")
 def domain_out(context: FaultContext, fault: PlannedFault, rng: random.Random) -> None:
     """Exclude a failure domain for some time."""
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -31,6 +31,8 @@
 SLOW_FACTOR = 10.0
 COLD_S = 2.0
 """Time after its start for which a server is cold, except at the start of the run."""
+FIRST_START_MS = 1_000_000
+"""Time of a server's first start, in Unix milliseconds."""
 RECORD_COUNT = 6
 KEEP_ALIVE_S = 4
 """The timeout in the servers' ``Keep-Alive`` header."""
@@ -88,6 +90,8 @@
     is_draining: bool = False
     cold_until: float = 0.0
     sequence: int = 0
+    born_ms: int = 0
+    _starts: int = 0
     _listener: StreamServer | None = None
     _slots: BoundedSemaphore = field(default_factory=lambda: BoundedSemaphore(SLOTS))
     _queued_count: int = 0
@@ -111,7 +115,19 @@
 
     def start(self, is_cold: bool = True) -> None:
         """Start a new incarnation."""
-        self.server_id = f"i-{self.rng.getrandbits(40):010x}"
+        self._starts += 1
+        self.born_ms = FIRST_START_MS + self._starts
+        self._begin(f"i-{self.rng.getrandbits(40):010x}", is_cold)
+
+    def start_in_the_past(self) -> None:
+        """Start again under the same id, with a clock that has been set back."""
+        self._starts += 1
+        self.born_ms = FIRST_START_MS - self._starts
+        self._begin(self.server_id, is_cold=True)
+
+    def _begin(self, server_id: str, is_cold: bool) -> None:
+        self.server_id = server_id
+        self.sequence = 0
         self.mode = FailureMode.HEALTHY
         self.is_draining = False
         self.cold_until = self.now() + COLD_S if is_cold else 0.0
@@ -143,7 +159,7 @@
             "state": "draining" if self.is_draining else "ready",
             "cold-left-ms": max(0, int((self.cold_until - self.now()) * 1000)),
             "sequence": self.sequence,
-            "born": 1_000 + self.sequence,
+            "born": self.born_ms,
         }
 
     def _serve(self, sock: socket.socket, _: object) -> None:
