Drop a held registration that a full read of the store does not contain

A registration that was held, a write that had come late or an entry of a restored copy, was applied once its time had come although a full read meanwhile had shown that the store no longer has it. A full read now drops all of them, and holds those again that it contains. A removal of a server that is not known leaves no line and is not counted as put off. Found by reading again; the new test fails without the change.

--- a/marigoldwalk/gateway/store_watcher.py
+++ b/marigoldwalk/gateway/store_watcher.py
@@ -215,6 +215,8 @@
         if self._has_snapshot and batch.era > self.era:
             self._begin_era(batch.era)
         self._record_answer(batch)
+        # What is still in the store is held again.
+        self._held.clear()
         self._remove_absent(batch.updates)
         self._apply(self._without_outdated(batch))
         self._has_snapshot = True
@@ -234,7 +236,6 @@
         fields = {"new_era": era, **self._state()}
         logger.warning("store restored from a copy", extra={"fields": fields})
         self._era_change.begin(self._catalog.excluded_domains, self._now())
-        self._held.clear()
 
     def _without_outdated(self, batch: UpdateBatch) -> UpdateBatch:
         """Return *batch* without what was known to be out of date before a change of era.
@@ -380,13 +381,16 @@
         if update.is_unreadable:
             self._counters["registration.unreadable"] += 1
             logger.warning("invalid server registration", extra={"fields": fields})
+        if update.server_id not in self._catalog.rows:
+            return
         recovering_until = self._outages.recovering_until
         if now < recovering_until:
             self._counters["registration.removal_deferred"] += 1
             self._catalog.mark_removed(update.server_id, recovering_until)
             fields["deferred_s"] = round(recovering_until - now, 3)
             logger.info("server removal deferred", extra={"fields": fields})
-        elif self._catalog.remove(update.server_id):
+        else:
+            self._catalog.remove(update.server_id)
             logger.info("server removed", extra={"fields": fields})
 
     def _apply_domain(self, update: DomainUpdate) -> None:
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -28,7 +28,7 @@
 from marigoldwalk.routing.readers import Readers
 
 from ..routing.simulation import registration
-from .scripted_store import Clock, make_watcher, servers
+from .scripted_store import HISTORY_LOST, Clock, make_watcher, servers
 
 DRAIN_S = 3.0
 """Time after which no request may reach a server that has said that it is leaving."""
@@ -201,6 +201,24 @@
     assert usable(catalog) == ["a"]
 
 
+def test_held_entry_of_a_server_that_a_full_read_does_not_contain_is_dropped(clock):
+    """It was applied once its time had come, although the store had removed the server."""
+    late = ServerUpdate(registration("a"))
+    watcher, catalog = make_watcher(
+        clock,
+        UpdateBatch(servers("a", "b"), 5),
+        UpdateBatch((ServerRemoved("a"), late), 7),
+        HISTORY_LOST,
+        UpdateBatch(servers("b"), 9),
+        UpdateBatch((), 9),
+    )
+    for _ in range(3):
+        watcher.poll()
+    clock.now += SETTLE_S
+    watcher.poll()
+    assert usable(catalog) == ["b"]
+
+
 @pytest.mark.parametrize("why", ["status 429", "status 503", "the watch was cut"])
 def test_one_failed_call_does_not_put_off_the_removal_of_a_server(clock, why):
     """The removal was carried out by the first watch that ended 2.2 s later."""
