--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -184,6 +184,37 @@
     assert usable(follow(clock, leaving, late)) == []
 
 
+writes = st.one_of(
+    st.builds(
+        lambda start, sequence, draining: ServerUpdate(
+            registration("a", started_at_ms=start, sequence=sequence, draining=draining)
+        ),
+        st.integers(1, 3),
+        st.integers(1, 4),
+        st.booleans(),
+    ),
+    st.just(ServerRemoved("a")),
+)
+
+
+@given(st.lists(writes, min_size=1, max_size=8), st.floats(0.0, 2.0))
+def test_last_entry_in_the_store_decides_whatever_counts_the_writes_state(updates, gap_s):
+    clock = Clock()
+    batches = [UpdateBatch((update,), 6 + n) for n, update in enumerate(updates)]
+    settled = UpdateBatch((), 6 + len(updates))
+    watcher, catalog = make_watcher(clock, UpdateBatch(servers("a"), 5), *batches, settled)
+    for _ in range(len(updates) + 1):
+        watcher.poll()
+        clock.now += gap_s
+    last = updates[-1]
+    is_ready = isinstance(last, ServerUpdate) and not last.registration.draining
+    if not is_ready:
+        assert usable(catalog) == []
+    clock.now += SETTLE_S
+    watcher.poll()
+    assert usable(catalog) == (["a"] if is_ready else [])
+
+
 def test_entry_that_stays_in_the_store_ends_that_a_server_leaves(clock):
     leaving = ServerUpdate(registration("a", sequence=8, draining=True))
     ready = ServerUpdate(registration("a", started_at_ms=400))
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -3,13 +3,25 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from marigoldwalk.errors import RefusalReason
 from marigoldwalk.routing.eligibility import LEAVING_MARGIN_S
 from marigoldwalk.routing.exchanges import ErrorAnswer, ForwardedAnswer, MergedAnswer, ServerReply
 
 from .load import pause_reply
-from .simulation import Simulation, fan_out_route, registration, server_reply, single_route
+from .simulation import (
+    REFUSED,
+    RESET,
+    SHED,
+    SILENT,
+    Simulation,
+    fan_out_route,
+    registration,
+    server_reply,
+    single_route,
+)
 
 LEAVING_REPLY = ServerReply(200, (), b"0" * 16, "sig", executed=True, is_leaving=True)
 FAST = (0.03, server_reply())
@@ -190,3 +202,42 @@
     simulation = pair([(0.01, unclear)], [(0.01, unclear)], idempotent=False)
     (answer,) = ask_every(simulation, 1)
     assert answer == ErrorAnswer(502, RefusalReason.SERVERS_FAILED)
+
+
+answers = st.lists(
+    st.tuples(
+        st.floats(0.001, 0.4), st.sampled_from([server_reply(), SHED, RESET, REFUSED, SILENT])
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@given(
+    scripts=st.fixed_dictionaries(dict.fromkeys(("a", "b", "c"), answers)),
+    count=st.integers(1, 20),
+    leaves_after_s=st.floats(0.0, 1.0),
+    is_removed=st.booleans(),
+    path=st.sampled_from(["/one/1", "/all/1"]),
+)
+def test_no_retry_hedge_or_queued_task_reaches_a_server_that_is_known_to_leave(
+    scripts, count, leaves_after_s, is_removed, path
+):
+    servers = {server: ("s-1", "north", *script) for server, script in scripts.items()}
+    servers |= {f"{shard}-x": (shard, "north", FAST) for shard in SHARDS[1:]}
+    simulation = Simulation([single_route(), fan_out_route(SHARDS)], servers)
+    leaves_at = simulation.now + leaves_after_s
+
+    def leave():
+        catalog = simulation.world.catalog
+        if is_removed:
+            catalog.remove("a")
+        else:
+            catalog.apply_registration(registration("a", draining=True, sequence=2), leaves_at)
+
+    simulation.schedule(leaves_at, leave)
+    for number in range(count):
+        at = simulation.now + 0.05 * number
+        simulation.schedule(at, lambda n=number: simulation.ask(path, f"q-{n}"))
+    simulation.run(6.0)
+    assert all(at <= leaves_at for at in sent_to(simulation, "a"))
