--- a/soak/faults.py
+++ b/soak/faults.py
@@ -198,10 +198,7 @@
 def server_replaced(context: FaultContext, fault: PlannedFault, rng: random.Random) -> None:
     """Drain some servers, which then restart with a new id."""
     for server in _choose_servers(context, rng):
-        if server.is_running and not server.is_draining:
-            server.is_draining = True
-            context.deployment.register(server)
-            gevent.spawn_later(DRAIN_S + LINGER_S, _replace_server, context, server)
+        _drain_and_replace(context, server)
 
 
 @faults.register("server_restarted_in_the_past")
@@ -216,10 +213,7 @@
         context.deployment.register(server)
     gevent.sleep(READ_S)
     for server in servers:
-        if server.is_running and not server.is_draining:
-            server.is_draining = True
-            context.deployment.register(server)
-            gevent.spawn_later(DRAIN_S + LINGER_S, _replace_server, context, server)
+        _drain_and_replace(context, server)
 
 
 @faults.register("domain_out")
@@ -286,6 +280,14 @@
         context.deployment.register(server)
 
 
+def _drain_and_replace(context: FaultContext, server: Server) -> None:
+    """Let a server drain, unless it does so already or is down, and replace it afterwards."""
+    if server.is_running and not server.is_draining:
+        server.is_draining = True
+        context.deployment.register(server)
+        gevent.spawn_later(DRAIN_S + LINGER_S, _replace_server, context, server)
+
+
 def _replace_server(context: FaultContext, server: Server) -> None:
     """Stop a drained server and restart it."""
     if server in context.deployment.servers and server.is_running and server.is_draining:
