--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 import os
 import re
@@ -36,11 +37,12 @@
     """The record of what was sent, answered and run; one line for each event."""
 
     def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._file = open(folder / "record.txt", "w", encoding="utf-8")  # noqa: SIM115 (kept open)
         self._lock = threading.Lock()
         self._start = time.monotonic()
 
     def __call__(self, text: str) -> None:
+        """Write one line."""
         with self._lock:
             line = f"{time.monotonic() - self._start:8.3f} {text}"
             print(line, file=self._file, flush=True)
@@ -145,10 +147,8 @@
     def close(self) -> None:
         """Stop accepting."""
         self.is_open = False
-        try:
+        with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
         self.sock.close()
 
 
@@ -357,9 +357,9 @@
         path.write_text(render(template, fields))
         env = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         env |= {"MARIGOLDWALK_BOOT": str(path), "PYTHONPATH": str(ROOT / "target" / "deps")}
-        log = open(self.rig.folder / f"{self.name}.log", "ab")
         command = ["python3", "-m", "marigoldwalk.platform"]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log)
+        with open(self.rig.folder / f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log)
         self.rig.record(f"{self.name} started")
 
     def signal(self, number: int) -> None:
